--- /dev/null
+++ b/packages/budget/budget_pool_base.cpp
@@ -0,0 +1,58 @@
+/** @file budget_pool_base.cpp A holder's own view of one grant. */
+#include "budget/budget_pool_base.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+token_count budget_pool::available() const
+{
+    // Tokens on their way back count as gone from the moment of sending.
+    const auto returning =
+        renewing_ ? std::max<token_count>(-pending_.extra, 0) : 0;
+    return granted_ - used_ - reserved_ - returning;
+}
+
+bool budget_pool::idle() const
+{
+    return granted_ == 0 && reserved_ == 0 && used_ == 0 && !renewing_;
+}
+
+bool budget_pool::reserve(token_count amount)
+{
+    if (amount < 0 || amount > available())
+        return false;
+    reserved_ += amount;
+    return true;
+}
+
+void budget_pool::settle(token_count amount, token_count spent)
+{
+    reserved_ -= amount;
+    used_ += std::clamp<token_count>(spent, 0, amount);
+}
+
+void budget_pool::adopt(token_count open)
+{
+    granted_ += open;
+    reserved_ += open;
+}
+
+pending_renewal budget_pool::begin_renewal(token_count extra)
+{
+    const auto most_back = std::max<token_count>(available(), 0);
+    pending_ = {++sequence_, used_, std::max(extra, -most_back)};
+    renewing_ = true;
+    return pending_;
+}
+
+void budget_pool::confirm_renewal(token_count got, token_count solo)
+{
+    granted_ += got - pending_.used;
+    used_ -= pending_.used;
+    solo_ = solo;
+    renewing_ = false;
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/common/id_type.hpp
@@ -0,0 +1,120 @@
+/** @file id_type.hpp Strong identifiers shared by every package. */
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+namespace rosemarydeck
+{
+
+/** A string that identifies one kind of thing and nothing else. */
+template <class Tag>
+class strong_string
+{
+public:
+    strong_string() = default;
+    explicit strong_string(std::string value) : value_(std::move(value)) {}
+
+    /** @return The identifier as text. */
+    [[nodiscard]] const std::string& value() const { return value_; }
+    /** @return True when no identifier was given. */
+    [[nodiscard]] bool empty() const { return value_.empty(); }
+
+    auto operator<=>(const strong_string&) const = default;
+
+private:
+    std::string value_;
+};
+
+/** Writes a strong identifier as a JSON string. */
+template <class Tag>
+void to_json(nlohmann::json& json, const strong_string<Tag>& id)
+{
+    json = id.value();
+}
+
+/** Reads a strong identifier; throws nlohmann::json::type_error. */
+template <class Tag>
+void from_json(const nlohmann::json& json, strong_string<Tag>& id)
+{
+    id = strong_string<Tag>(json.get<std::string>());
+}
+
+/** A number that identifies one kind of thing and nothing else. */
+template <class Tag>
+class strong_number
+{
+public:
+    strong_number() = default;
+    explicit strong_number(std::uint64_t value) : value_(value) {}
+
+    /** @return The identifier as a plain number. */
+    [[nodiscard]] std::uint64_t value() const { return value_; }
+
+    auto operator<=>(const strong_number&) const = default;
+
+private:
+    std::uint64_t value_ = 0;
+};
+
+/** Writes a strong number as a JSON number. */
+template <class Tag>
+void to_json(nlohmann::json& json, const strong_number<Tag>& id)
+{
+    json = id.value();
+}
+
+/** Reads a strong number; throws nlohmann::json::type_error. */
+template <class Tag>
+void from_json(const nlohmann::json& json, strong_number<Tag>& id)
+{
+    id = strong_number<Tag>(json.get<std::uint64_t>());
+}
+
+/** Name of a VM, stable over restarts of its process. */
+using vm_id = strong_string<struct vm_tag>;
+/** One run of the daemon on a VM: the VM name, a dot, the start number. */
+using instance_id = strong_string<struct instance_tag>;
+/** Name of a data centre. */
+using dc_id = strong_string<struct dc_tag>;
+/** Name of a customer. */
+using customer_id = strong_string<struct customer_tag>;
+/** Name of a backend server. */
+using server_id = strong_string<struct server_tag>;
+/** Name of a model or of a plain service. */
+using target_id = strong_string<struct target_tag>;
+/** Idempotency key of one request of one customer. */
+using idempotency_key = strong_string<struct idempotency_tag>;
+/** Name of one grant, unique over all holders. */
+using grant_id = strong_string<struct grant_tag>;
+/** A request as one VM numbers it. */
+using request_id = strong_number<struct request_tag>;
+/** A platform call as one VM numbers it. */
+using call_id = strong_number<struct call_tag>;
+
+/** An amount of model tokens. */
+using token_count = std::int64_t;
+
+} // namespace rosemarydeck
+
+template <class Tag>
+struct std::hash<rosemarydeck::strong_string<Tag>>
+{
+    std::size_t operator()(const rosemarydeck::strong_string<Tag>& id) const
+    {
+        return std::hash<std::string>()(id.value());
+    }
+};
+
+template <class Tag>
+struct std::hash<rosemarydeck::strong_number<Tag>>
+{
+    std::size_t operator()(const rosemarydeck::strong_number<Tag>& id) const
+    {
+        return std::hash<std::uint64_t>()(id.value());
+    }
+};
--- /dev/null
+++ b/packages/common/priority_type.hpp
@@ -0,0 +1,45 @@
+/** @file priority_type.hpp The three priorities of work. */
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rosemarydeck
+{
+
+/** Priority of a request, most urgent first. */
+enum class priority
+{
+    urgent,
+    standard,
+    bulk,
+};
+
+inline constexpr std::size_t priority_count = 3;
+inline constexpr std::array<std::string_view, priority_count> priority_names{
+    "urgent", "standard", "bulk"};
+
+/** @param value A priority. @return Its name in headers and lists. */
+inline std::string_view name_of(priority value)
+{
+    return priority_names[static_cast<std::size_t>(value)];
+}
+
+/** @param name A priority's name. @return The priority, if there is one. */
+inline std::optional<priority> priority_from(std::string_view name)
+{
+    for (std::size_t index = 0; index < priority_count; ++index)
+        if (priority_names[index] == name)
+            return static_cast<priority>(index);
+    return std::nullopt;
+}
+
+NLOHMANN_JSON_SERIALIZE_ENUM(priority, {{priority::urgent, "urgent"},
+                                        {priority::standard, "standard"},
+                                        {priority::bulk, "bulk"}})
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/config/config_check_func.hpp
@@ -0,0 +1,19 @@
+/** @file config_check_func.hpp Checks configuration before it is used. */
+#pragma once
+
+#include "common/error_type.hpp"
+#include "config/config_type.hpp"
+
+namespace rosemarydeck
+{
+
+/** @return The plan in a JSON text, or invalid_input with each fault. */
+expected<customer_plan> parse_plan(const std::string& text);
+/** @return The allowance in a JSON text, or invalid_input. */
+expected<allowance> parse_allowance(const std::string& text);
+/** @return The server in a JSON text, or invalid_input. */
+expected<server_entry> parse_server(const std::string& text);
+/** @return The VM in a JSON text, or invalid_input. */
+expected<vm_entry> parse_vm(const std::string& text);
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/config/config_type.hpp
@@ -0,0 +1,113 @@
+/** @file config_type.hpp Plans, allowances and the fleet's lists. */
+#pragma once
+
+#include "common/id_type.hpp"
+#include "common/priority_type.hpp"
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace rosemarydeck
+{
+
+/** Targets of one priority; an answer later than these is refunded. */
+struct service_target
+{
+    std::int64_t first_token_ms = 0;
+    std::int64_t token_gap_ms = 0;
+    std::int64_t whole_answer_ms = 0;
+    std::int64_t refund_percent = 0; ///< Of the charge, when late.
+
+    bool operator==(const service_target&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(service_target, first_token_ms,
+                                                token_gap_ms, whole_answer_ms,
+                                                refund_percent)
+
+/** A customer's plan: its budget, keys, weight and targets. */
+struct customer_plan
+{
+    customer_id customer;
+    token_count prepaid = 0; ///< All tokens ever paid for.
+    std::vector<std::string> api_keys;
+    std::int64_t weight = 1;
+    std::array<service_target, priority_count> targets{
+        service_target{1100, 46, 30000, 100},
+        service_target{5000, 100, 120000, 50},
+        service_target{30000, 200, 600000, 20}};
+
+    bool operator==(const customer_plan&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(customer_plan, customer,
+                                                prepaid, api_keys, weight,
+                                                targets)
+
+/** What a plan may use. */
+struct allowance
+{
+    customer_id customer;
+    std::vector<target_id> targets; ///< Models and plain services.
+    std::vector<priority> priorities;
+    std::int64_t max_concurrent = 64;
+    std::int64_t requests_per_minute = 6000;
+    token_count max_tokens = 32768; ///< Of one request, in and out.
+
+    bool operator==(const allowance&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(allowance, customer, targets,
+                                                priorities, max_concurrent,
+                                                requests_per_minute,
+                                                max_tokens)
+
+/** What a backend server is. */
+enum class server_kind
+{
+    engine,
+    service,
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(server_kind, {{server_kind::engine, "engine"},
+                                           {server_kind::service, "service"}})
+
+/** A backend server on the platform's list. */
+struct server_entry
+{
+    server_id server;
+    dc_id data_centre;
+    std::string address;
+    std::uint16_t port = 0;
+    server_kind kind = server_kind::engine;
+    std::vector<target_id> targets;
+    std::int64_t slots = 8;
+    bool checks_fence = false;
+    bool resumes = false; ///< Can resume a stream at an offset.
+    bool leaving = false;
+
+    bool operator==(const server_entry&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(server_entry, server,
+                                                data_centre, address, port,
+                                                kind, targets, slots,
+                                                checks_fence, resumes, leaving)
+
+/** A VM on the platform's lagging list. */
+struct vm_entry
+{
+    vm_id vm;
+    dc_id data_centre;
+    std::string address;
+    std::uint16_t peer_port = 0;
+    bool leaving = false;
+
+    bool operator==(const vm_entry&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(vm_entry, vm, data_centre,
+                                                address, peer_port, leaving)
+
+inline const std::string fleet_prefix = "fleet/";
+inline const std::string plans_prefix = "fleet/plans/";
+inline const std::string allowances_prefix = "fleet/allowances/";
+inline const std::string servers_prefix = "fleet/servers/";
+inline const std::string vms_prefix = "fleet/vms/";
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/core/adoption_base.cpp
@@ -0,0 +1,319 @@
+/** @file adoption_base.cpp Ends the grants of VMs that are lost. */
+#include "core/adoption_base.hpp"
+
+#include "common/hash_func.hpp"
+#include "member/member_func.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+std::vector<key_record>::iterator find_key(std::vector<key_record>& records,
+                                           const idempotency_key& key)
+{
+    return std::find_if(records.begin(), records.end(),
+                        [&](const auto& each) { return each.key == key; });
+}
+
+} // namespace
+
+adoption_role::adoption_role(core_context& context, owner& own, witness& kept,
+                             dispatcher& requests)
+    : context_(context), owner_(own), witness_(kept), dispatcher_(requests)
+{
+}
+
+adoption_role::lost_vm& adoption_role::begin(const instance_id& lost)
+{
+    const auto [found, is_new] = lost_.try_emplace(lost);
+    if (!is_new)
+        return found->second;
+    // While another adoption is open, the other lost VM may have been this
+    // one's only witness; then nothing unspent can be proven.
+    for (const auto& [other, vm] : lost_)
+        for (const auto& [customer, task] : vm.tasks)
+            if (other != lost && !task.done)
+                found->second.exact = false;
+    if (context_.members.find(lost) == nullptr)
+        found->second.exact = false;
+    found->second.since = context_.now;
+    witness_.seal(lost);
+    context_.record(timeline_kind::grant_sealed, {}, {}, lost.value());
+    return found->second;
+}
+
+void adoption_role::on_gone(const instance_id& lost)
+{
+    if (lost_.find(lost) != lost_.end())
+        return;
+    begin(lost);
+    send_seals(lost);
+}
+
+std::vector<customer_records>
+adoption_role::all_records(const instance_id& lost) const
+{
+    auto records = witness_.records_of(lost);
+    for (auto& entry : owner_.records_on(lost))
+        records.push_back(std::move(entry));
+    for (auto& entry : dispatcher_.records_on(lost))
+        records.push_back(std::move(entry));
+    return records;
+}
+
+std::uint64_t adoption_role::view() const
+{
+    std::string names;
+    for (const auto& instance : context_.members.live_in(context_.data_centre()))
+        names += instance.value() + ",";
+    return stable_hash(names);
+}
+
+void adoption_role::send_seals(const instance_id& lost)
+{
+    std::map<instance_id, seal_notice> notices;
+    for (const auto& instance :
+         context_.members.live_in(context_.data_centre()))
+        notices[instance] = {lost, view(), {}};
+    for (auto& entry : all_records(lost))
+        notices[context_.owner_of(entry.customer)].entries.push_back(
+            std::move(entry));
+    for (auto& [heir, notice] : notices)
+        context_.send(heir, std::move(notice));
+}
+
+void adoption_role::on_seal(const instance_id& from, const seal_notice& notice)
+{
+    if (notice.lost == context_.self())
+        return; // This VM's own witnesses refuse it; the owner stops.
+    if (lost_.find(notice.lost) == lost_.end()) {
+        begin(notice.lost);
+        context_.members.end(notice.lost);
+        send_seals(notice.lost);
+    }
+    auto& vm = lost_.at(notice.lost);
+    vm.seals[from] = notice.view;
+    for (const auto& entry : notice.entries)
+        merge(vm, entry);
+    start_tasks(notice.lost, vm);
+}
+
+void adoption_role::merge(lost_vm& vm, const customer_records& entry)
+{
+    auto& task = vm.tasks[entry.customer];
+    auto& found = task.found;
+    found.customer = entry.customer;
+    found.used_total = std::max(found.used_total, entry.used_total);
+    auto& records = entry.by_holder ? found.records : task.by_runners;
+    for (const auto& record : entry.records) {
+        const auto known = find_key(records, record.key);
+        if (known == records.end())
+            records.push_back(record);
+        else if (known->state == key_state::running)
+            *known = record;
+        else
+            known->stored = known->stored || record.stored;
+    }
+}
+
+token_count adoption_role::weigh_records(const customer_id& customer,
+                                         heir_task& task)
+{
+    // A runner's word counts where the holder had not yet heard of the end.
+    token_count beyond_total = 0;
+    auto& records = task.found.records;
+    for (const auto& told : task.by_runners) {
+        const auto known = find_key(records, told.key);
+        if (known == records.end())
+            records.push_back(told);
+        else if (known->state == key_state::running)
+            *known = told;
+        else
+            continue;
+        if (told.state == key_state::finished)
+            beyond_total += told.charge.net();
+    }
+    task.by_runners.clear();
+    task.found.used_total += beyond_total;
+    task.open = 0;
+    for (auto& record : records) {
+        if (record.state != key_state::running)
+            continue;
+        const bool runs = record.runner == context_.self() ||
+                          context_.members.state_of(record.runner) !=
+                              member_state::gone;
+        if (!runs || owner_.owns(customer, record.key))
+            record.state = key_state::released;
+        else
+            task.open += record.amount;
+    }
+    return task.found.used_total;
+}
+
+bool adoption_role::complete(const lost_vm& vm) const
+{
+    const auto current = view();
+    const auto sealed = [&](const instance_id& instance) {
+        const auto found = vm.seals.find(instance);
+        return found != vm.seals.end() && found->second == current;
+    };
+    const auto peers = context_.members.possible_peers();
+    return sealed(context_.self()) &&
+           std::all_of(peers.begin(), peers.end(), sealed);
+}
+
+void adoption_role::start_tasks(const instance_id& lost, lost_vm& vm)
+{
+    if (!complete(vm))
+        return;
+    for (auto& [customer, task] : vm.tasks) {
+        if (task.done || task.started ||
+            context_.owner_of(customer) != context_.self())
+            continue;
+        task.started = true;
+        read(lost, customer);
+    }
+}
+
+void adoption_role::on_members_changed()
+{
+    for (auto& [lost, vm] : lost_)
+        send_seals(lost);
+}
+
+bool adoption_role::is_ended(const instance_id& holder) const
+{
+    if (context_.members.find(holder) != nullptr)
+        return context_.members.state_of(holder) == member_state::gone;
+    // Never heard of: a later start of the same VM proves its end, and so
+    // does its absence from the platform's list.
+    const auto vm = vm_of(holder);
+    if (vm == context_.options.self.vm)
+        return start_of(holder) < context_.options.self.started;
+    for (const auto& member : context_.members.live_members())
+        if (member.vm == vm)
+            return start_of(holder) < member.started;
+    const auto& listed = context_.config.vms();
+    return !listed.empty() && listed.find(vm) == listed.end();
+}
+
+void adoption_role::on_stale_grant(const stale_grant& grant)
+{
+    if (!is_ended(grant.holder))
+        return;
+    on_gone(grant.holder);
+    auto& vm = lost_.at(grant.holder);
+    auto& task = vm.tasks[grant.customer];
+    task.found.customer = grant.customer;
+    if (task.done) {
+        // A grant that shows up again was written late; it is ended too.
+        task.done = false;
+        task.started = false;
+    }
+    start_tasks(grant.holder, vm);
+}
+
+void adoption_role::read(const instance_id& lost, const customer_id& customer)
+{
+    context_.platform.call(adoption_purpose{lost, customer},
+                           get_object{accounts_prefix + customer.value()});
+}
+
+void adoption_role::on_answer(const adoption_purpose& purpose,
+                              const platform_result& result)
+{
+    const auto lost = lost_.find(purpose.lost);
+    if (lost == lost_.end())
+        return;
+    auto& vm = lost->second;
+    auto& task = vm.tasks.at(purpose.customer);
+    if (!result)
+        return retry(purpose.lost, purpose.customer, task);
+    const auto& object = result->objects.front();
+    const bool is_write = object.value.empty();
+    if (is_write)
+        return finish(purpose.lost, task, true);
+    write(purpose.lost, purpose.customer, vm, task, object);
+}
+
+void adoption_role::write(const instance_id& lost, const customer_id& customer,
+                          lost_vm& vm, heir_task& task,
+                          const platform_object& object)
+{
+    const auto before = parse_account(object.value);
+    if (!before)
+        return retry(lost, customer, task);
+    const auto* grant = find_grant(*before, lost);
+    if (grant == nullptr) {
+        const adopted_grant mine{lost, context_.self()};
+        const auto& adopted = before->adopted;
+        const bool won = task.wrote && std::find(adopted.begin(), adopted.end(),
+                                                 mine) != adopted.end();
+        return finish(lost, task, won);
+    }
+    const auto known = weigh_records(customer, task);
+    task.credit = std::max<token_count>(grant->used_total - known, 0);
+    const auto after =
+        adopt_grant(*before, {.lost = lost,
+                              .heir = context_.self(),
+                              .data_centre = context_.data_centre(),
+                              .used_total = known,
+                              .open = task.open,
+                              .exact = vm.exact});
+    if (!after)
+        return retry(lost, customer, task);
+    task.wrote = true;
+    context_.platform.call(adoption_purpose{lost, customer},
+                           update_object{object.name, object.version,
+                                         nlohmann::json(*after).dump()});
+}
+
+void adoption_role::finish(const instance_id& lost, heir_task& task, bool won)
+{
+    task.done = true;
+    if (won)
+        owner_.adopt(lost, task.found, task.open, task.credit);
+    else
+        owner_.adopt(lost, task.found, 0, 0);
+}
+
+void adoption_role::retry(const instance_id& lost, const customer_id& customer,
+                          heir_task& task)
+{
+    context_.schedule(context_.backoff(task.failures++),
+                      adoption_timer{lost, customer});
+}
+
+void adoption_role::on_timer(const adoption_timer& timer)
+{
+    const auto lost = lost_.find(timer.lost);
+    if (lost != lost_.end() && !lost->second.tasks.at(timer.customer).done)
+        read(timer.lost, timer.customer);
+}
+
+std::size_t adoption_role::unfinished() const
+{
+    std::size_t count = 0;
+    for (const auto& [lost, vm] : lost_)
+        for (const auto& [customer, task] : vm.tasks)
+            count += task.done ? 0 : 1;
+    return count;
+}
+
+void adoption_role::sweep()
+{
+    for (auto at = lost_.begin(); at != lost_.end();) {
+        if (context_.now - at->second.since < context_.options.key_window) {
+            ++at;
+            continue;
+        }
+        witness_.forget(at->first);
+        at = lost_.erase(at);
+    }
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/core/bill_writer_base.cpp
@@ -0,0 +1,79 @@
+/** @file bill_writer_base.cpp Writes bills to the platform. */
+#include "core/bill_writer_base.hpp"
+
+namespace rosemarydeck
+{
+
+bill_writer::bill_writer(core_context& context)
+    : context_(context),
+      outbox_(bills_prefix + context.self().value() + "/")
+{
+}
+
+void bill_writer::add(const bill& entry)
+{
+    outbox_.add(entry);
+    if (timer_set_ || writing_)
+        return;
+    timer_set_ = true;
+    context_.schedule(context_.draining ? duration{}
+                                        : context_.options.bill_flush,
+                      bills_timer{});
+}
+
+void bill_writer::on_timer()
+{
+    timer_set_ = false;
+    if (!writing_)
+        write();
+}
+
+void bill_writer::write()
+{
+    const auto batch = outbox_.next_batch();
+    if (!batch)
+        return;
+    writing_ = true;
+    context_.platform.call(
+        bills_purpose{},
+        create_object{batch->name, nlohmann::json(batch->batch).dump()});
+}
+
+void bill_writer::on_answer(const platform_result& result)
+{
+    writing_ = false;
+    // The name is this instance's alone, so "taken" means that an earlier
+    // try of the same batch took effect.
+    const bool stored =
+        result || result.error().code == error_code::already_exists;
+    if (!stored) {
+        timer_set_ = true;
+        context_.schedule(context_.backoff(failures_++), bills_timer{});
+        return;
+    }
+    failures_ = 0;
+    const auto bills = outbox_.confirm();
+    context_.record(timeline_kind::bills_stored, {}, {},
+                    std::to_string(bills.size()) + " bills");
+    tell_witnesses(bills);
+    write();
+}
+
+void bill_writer::tell_witnesses(const std::vector<bill>& stored)
+{
+    std::map<instance_id, witness_stored> notices;
+    for (const auto& entry : stored) {
+        const auto witness = context_.witness_for(entry.customer);
+        if (!witness.empty())
+            notices[witness].keys.push_back({entry.customer, entry.key});
+    }
+    for (auto& [witness, notice] : notices)
+        context_.send(witness, std::move(notice));
+}
+
+bool bill_writer::backlog_full() const
+{
+    return outbox_.size() >= context_.options.max_unflushed_bills;
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/core/claim_base.cpp
@@ -0,0 +1,171 @@
+/** @file claim_base.cpp The right to run a request that may run only once. */
+#include "core/claim_base.hpp"
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+const std::string claims_prefix = "claims/";
+const std::string issued_prefix = "order:";
+constexpr std::size_t max_issued = 100'000;
+constexpr std::size_t max_given_up = 100'000;
+constexpr duration claim_patience = std::chrono::seconds(4);
+
+/** @return The claim in a text; one that nobody holds if it is malformed. */
+claim_object parse_claim(const std::string& text)
+{
+    try {
+        return nlohmann::json::parse(text).get<claim_object>();
+    }
+    catch (const nlohmann::json::exception&) {
+        return {};
+    }
+}
+
+} // namespace
+
+claim_desk::claim_desk(core_context& context) : context_(context) {}
+
+idempotency_key claim_desk::issue(const customer_id& customer)
+{
+    const idempotency_key key(issued_prefix + context_.self().value() + ":" +
+                              std::to_string(++last_issued_));
+    if (issued_.size() >= max_issued)
+        issued_.erase(issued_.begin());
+    issued_.insert({customer, key});
+    return key;
+}
+
+instance_id claim_desk::issuer_of(const idempotency_key& key)
+{
+    const auto& text = key.value();
+    if (text.rfind(issued_prefix, 0) != 0)
+        return {};
+    const auto end = text.rfind(':');
+    if (end < issued_prefix.size())
+        return {};
+    return instance_id(
+        text.substr(issued_prefix.size(), end - issued_prefix.size()));
+}
+
+std::optional<claim_result> claim_desk::start(request_id id,
+                                              const customer_id& customer,
+                                              const idempotency_key& key,
+                                              std::uint64_t fingerprint)
+{
+    if (issuer_of(key) == context_.self())
+        return claim_issued(id, {customer, key});
+    auto& claim = claims_[id];
+    claim.name = claims_prefix + customer.value() + "/" + key.value();
+    claim.key = {customer, key};
+    claim.wanted = {context_.self(), id.value(), fingerprint};
+    claim.since = context_.now;
+    create(id, claim);
+    return std::nullopt;
+}
+
+std::optional<claim_result> claim_desk::claim_issued(request_id id,
+                                                     const customer_key& key)
+{
+    // Erased on use: a key that is not there has been used or never existed.
+    if (issued_.erase(key) == 0)
+        return claim_result{id, claim_outcome::elsewhere, context_.self()};
+    open_claim claim;
+    claim.key = key;
+    claim.at = step::held;
+    claim.by_issue = true;
+    claims_[id] = claim;
+    return claim_result{id, claim_outcome::taken, context_.self()};
+}
+
+void claim_desk::create(request_id id, open_claim& claim)
+{
+    claim.at = step::creating;
+    context_.platform.call(
+        claim_purpose{id},
+        create_object{claim.name, nlohmann::json(claim.wanted).dump()});
+}
+
+void claim_desk::read(request_id id, open_claim& claim)
+{
+    claim.at = step::reading;
+    context_.platform.call(claim_purpose{id}, get_object{claim.name});
+}
+
+std::optional<claim_result> claim_desk::on_answer(request_id id,
+                                                  const platform_result& result)
+{
+    const auto found = claims_.find(id);
+    if (found == claims_.end() || found->second.at == step::held)
+        return std::nullopt;
+    auto& claim = found->second;
+    if (result && claim.at == step::creating) {
+        claim.at = step::held;
+        context_.record(timeline_kind::claim_taken, claim.key.customer,
+                        claim.key.key);
+        return claim_result{id, claim_outcome::taken, context_.self()};
+    }
+    if (result)
+        return on_found(id, claim, result->objects.front().value);
+    const auto code = result.error().code;
+    if (code == error_code::already_exists) {
+        read(id, claim);
+        return std::nullopt;
+    }
+    if (code == error_code::not_found) {
+        create(id, claim);
+        return std::nullopt;
+    }
+    // The create may have taken effect; nothing is said before it is read.
+    if (context_.now - claim.since >= claim_patience) {
+        give_up(id);
+        return claim_result{id, claim_outcome::unavailable, {}};
+    }
+    context_.schedule(context_.backoff(claim.failures++), claim_timer{id});
+    return std::nullopt;
+}
+
+std::optional<claim_result> claim_desk::on_found(request_id id,
+                                                 open_claim& claim,
+                                                 const std::string& text)
+{
+    const auto found = parse_claim(text);
+    const bool own = found.claimant == context_.self();
+    const bool free = own && (found.token == id.value() ||
+                              given_up_.erase(found.token) > 0);
+    if (!free) {
+        claims_.erase(id);
+        return claim_result{id, claim_outcome::elsewhere, found.claimant};
+    }
+    claim.wanted.token = found.token;
+    claim.at = step::held;
+    return claim_result{id, claim_outcome::taken, context_.self()};
+}
+
+void claim_desk::on_timer(request_id id)
+{
+    const auto found = claims_.find(id);
+    if (found != claims_.end())
+        read(id, found->second);
+}
+
+void claim_desk::give_up(request_id id)
+{
+    const auto found = claims_.find(id);
+    if (found == claims_.end())
+        return;
+    if (found->second.by_issue)
+        issued_.insert(found->second.key);
+    else if (given_up_.size() < max_given_up)
+        given_up_.insert(found->second.wanted.token);
+    claims_.erase(found);
+}
+
+void claim_desk::mark_run(request_id id)
+{
+    claims_.erase(id);
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/core/core_context_base.cpp
@@ -0,0 +1,119 @@
+/** @file core_context_base.cpp What the parts of a decision core share. */
+#include "core/core_context_base.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+constexpr duration report_age = std::chrono::seconds(3);
+constexpr duration failure_pause = std::chrono::milliseconds(500);
+constexpr duration max_failure_pause = std::chrono::seconds(10);
+
+} // namespace
+
+core_context::core_context(core_options given)
+    : options(std::move(given)),
+      members({.self = options.self,
+               .suspect_after = options.suspect_after,
+               .probation = options.probation,
+               .max_probation = options.max_probation}),
+      servers({.report_age = report_age,
+               .failure_pause = failure_pause,
+               .max_failure_pause = max_failure_pause}),
+      random_(options.seed)
+{
+}
+
+const instance_id& core_context::self() const
+{
+    return options.self.instance;
+}
+
+const dc_id& core_context::data_centre() const
+{
+    return options.self.data_centre;
+}
+
+instance_id core_context::owner_of(const customer_id& customer) const
+{
+    return members.ranking(customer.value(), data_centre()).front();
+}
+
+instance_id core_context::witness_for(const customer_id& customer) const
+{
+    const auto& live = members.live_in(data_centre());
+    if (live.size() < 2)
+        return {};
+    const auto ranked = members.ranking(customer.value(), data_centre());
+    return ranked[0] == self() ? ranked[1] : ranked[0];
+}
+
+void core_context::act(core_action action)
+{
+    actions_.push_back(std::move(action));
+}
+
+void core_context::send(const instance_id& to, peer_message message)
+{
+    if (to == self())
+        local_.push_back(std::move(message));
+    else
+        act(send_peer{to, std::move(message)});
+}
+
+void core_context::record(timeline_kind kind, const customer_id& customer,
+                          const idempotency_key& key, std::string detail)
+{
+    act(record_event{{clock.next(now), options.self.vm, data_centre(), kind,
+                      customer, key, std::move(detail)}});
+}
+
+void core_context::schedule(duration after, core_timer timer)
+{
+    timers_.emplace(now + after, std::move(timer));
+}
+
+duration core_context::backoff(unsigned tries)
+{
+    constexpr unsigned max_doublings = 10;
+    const auto full =
+        std::min(options.retry_backoff * (1U << std::min(tries, max_doublings)),
+                 options.max_backoff);
+    std::uniform_int_distribution<duration::rep> jitter(full.count() / 2,
+                                                        full.count());
+    return duration(jitter(random_));
+}
+
+std::optional<peer_message> core_context::take_local()
+{
+    if (local_.empty())
+        return std::nullopt;
+    auto message = std::move(local_.front());
+    local_.pop_front();
+    return message;
+}
+
+std::optional<core_timer> core_context::take_due()
+{
+    if (timers_.empty() || timers_.begin()->first > now)
+        return std::nullopt;
+    auto timer = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    return timer;
+}
+
+time_point core_context::next_wake() const
+{
+    return timers_.empty() ? time_point::max() : timers_.begin()->first;
+}
+
+std::vector<core_action> core_context::take_actions()
+{
+    return std::exchange(actions_, {});
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/core/dispatcher_base.cpp
@@ -0,0 +1,393 @@
+/** @file dispatcher_base.cpp Admission, reservation and identity. */
+#include "core/dispatcher_base.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+constexpr std::int64_t brief_retry_ms = 500;
+constexpr std::int64_t drain_retry_ms = 100;
+/** Waits for an owner longer than the owner itself keeps a reservation. */
+constexpr duration owner_patience = std::chrono::seconds(4);
+
+template <class Container, class Value>
+bool contains(const Container& container, const Value& value)
+{
+    return std::find(container.begin(), container.end(), value) !=
+           container.end();
+}
+
+} // namespace
+
+dispatcher::dispatcher(core_context& context)
+    : context_(context), claims_(context)
+{
+}
+
+dispatcher::open_request* dispatcher::find(request_id id)
+{
+    const auto found = open_.find(id);
+    return found == open_.end() ? nullptr : &found->second;
+}
+
+token_count dispatcher::amount_of(const caller_request& request) const
+{
+    if (request.kind == server_kind::service)
+        return context_.options.service_cost;
+    const auto output = request.max_output > 0 ? request.max_output
+                                               : context_.options.default_output;
+    return request.prompt_bound + output;
+}
+
+std::optional<refusal_reason>
+dispatcher::check(const caller_request& request, const customer_id* customer,
+                  token_count amount) const
+{
+    if (context_.draining)
+        return refusal_reason::draining;
+    if (customer == nullptr)
+        return context_.config.revision() == 0
+                   ? refusal_reason::not_ready
+                   : refusal_reason::unknown_api_key;
+    const auto* rights = context_.config.rights(*customer);
+    if (rights == nullptr || !contains(rights->targets, request.target))
+        return refusal_reason::target_not_allowed;
+    if (!contains(rights->priorities, request.rank))
+        return refusal_reason::priority_not_allowed;
+    if (amount > rights->max_tokens)
+        return refusal_reason::too_large;
+    if (open_.size() >= context_.options.max_open_requests)
+        return refusal_reason::overloaded;
+    return std::nullopt;
+}
+
+void dispatcher::on_request(const caller_request& request)
+{
+    const auto* customer = context_.config.owner_of(request.api_key);
+    const auto amount = amount_of(request);
+    const auto fault = check(request, customer, amount);
+    if (fault)
+        return refuse(request.id, *fault, ran_state::no,
+                      *fault == refusal_reason::draining ? drain_retry_ms : 0);
+    auto key = request.key;
+    if (key.empty())
+        key = idempotency_key("auto:" + context_.self().value() + ":" +
+                              std::to_string(++next_key_));
+    const customer_key whole{*customer, key};
+    if (answer_from_own(whole, request) || answer_by_issuer(whole, request))
+        return;
+    if (!context_.servers.serves(request.target, context_.now))
+        return refuse(request.id, refusal_reason::no_server, ran_state::no,
+                      brief_retry_ms);
+    const auto* plan = context_.config.plan(*customer);
+    auto& open = open_[request.id];
+    open.request = request;
+    open.key_given = !request.key.empty();
+    open.request.key = key;
+    open.customer = *customer;
+    open.amount = amount;
+    open.weight = plan->weight;
+    open.target = plan->targets[static_cast<std::size_t>(request.rank)];
+    open.arrived = context_.now;
+    running_keys_[whole] = request.id;
+    reserve(open);
+}
+
+bool dispatcher::answer_from_own(const customer_key& key,
+                                 const caller_request& request)
+{
+    const auto running = running_keys_.find(key);
+    if (running != running_keys_.end()) {
+        auto& original = open_.at(running->second);
+        if (original.request.fingerprint != request.fingerprint)
+            refuse(request.id, refusal_reason::key_conflict);
+        else {
+            ++original.joined;
+            context_.record(timeline_kind::request_joined, key.customer,
+                            key.key);
+            context_.act(join_request{request.id, running->second});
+        }
+        return true;
+    }
+    const auto finished = finished_.find(key);
+    if (finished == finished_.end())
+        return false;
+    if (finished->second.fingerprint != request.fingerprint)
+        refuse(request.id, refusal_reason::key_conflict);
+    else
+        context_.act(join_request{request.id, finished->second.id});
+    return true;
+}
+
+bool dispatcher::answer_by_issuer(const customer_key& key,
+                                  const caller_request& request)
+{
+    const auto issuer = claim_desk::issuer_of(key.key);
+    if (issuer.empty() || issuer == context_.self())
+        return false;
+    if (context_.members.is_live(issuer) && !request.relayed)
+        relay(request, issuer);
+    else
+        // Only the issuer may run it, and it can't be asked.
+        refuse(request.id, refusal_reason::outcome_unknown,
+               ran_state::unknown, brief_retry_ms);
+    return true;
+}
+
+void dispatcher::on_key_wanted(const key_wanted& request)
+{
+    const auto* customer = context_.config.owner_of(request.api_key);
+    if (customer == nullptr)
+        return refuse(request.id, refusal_reason::unknown_api_key);
+    if (context_.draining)
+        return refuse(request.id, refusal_reason::draining, ran_state::no,
+                      drain_retry_ms);
+    context_.act(issue_key{request.id, claims_.issue(*customer)});
+}
+
+void dispatcher::reserve(open_request& open)
+{
+    const auto owner = context_.owner_of(open.customer);
+    context_.send(owner, reserve_request{open.request.id, open.customer,
+                                         open.request.key,
+                                         open.request.fingerprint,
+                                         open.amount});
+    context_.schedule(context_.options.resend_after,
+                      request_timer{open.request.id});
+}
+
+void dispatcher::on_reserve_reply(const reserve_reply& reply)
+{
+    auto* open = find(reply.id);
+    if (open == nullptr || open->step != request_step::reserving)
+        return;
+    const auto id = reply.id;
+    const auto after = reply.retry_after_ms;
+    switch (reply.outcome) {
+    case reserve_outcome::reserved:
+        open->holder = reply.holder;
+        return claim_or_queue(*open);
+    case reserve_outcome::rerun:
+        if (!open->request.repeatable)
+            return drop(id, refusal_reason::outcome_unknown,
+                        ran_state::unknown);
+        open->unbilled = true;
+        return claim_or_queue(*open);
+    case reserve_outcome::running:
+    case reserve_outcome::finished: {
+        const auto request = open->request;
+        erase(id);
+        return relay(request, reply.runner);
+    }
+    case reserve_outcome::key_conflict:
+        return drop(id, refusal_reason::key_conflict, ran_state::no);
+    case reserve_outcome::exhausted:
+        return drop(id, refusal_reason::budget_exhausted, ran_state::no, after);
+    case reserve_outcome::unavailable:
+        return drop(id, refusal_reason::budget_unavailable, ran_state::no,
+                    after);
+    case reserve_outcome::over_limit:
+        return drop(id, refusal_reason::too_many_requests, ran_state::no,
+                    after);
+    }
+}
+
+void dispatcher::relay(const caller_request& request, const instance_id& to)
+{
+    const auto* member = context_.members.find(to);
+    if (member == nullptr || request.relayed)
+        return refuse(request.id, refusal_reason::key_in_use,
+                      ran_state::unknown, brief_retry_ms);
+    context_.record(timeline_kind::request_joined, {}, request.key,
+                    "through " + to.value());
+    context_.act(
+        relay_request{request.id, member->address, member->caller_port});
+}
+
+void dispatcher::claim_or_queue(open_request& open)
+{
+    if (open.request.repeatable || open.claimed)
+        return enqueue(open);
+    open.step = request_step::claiming;
+    const auto result =
+        claims_.start(open.request.id, open.customer, open.request.key,
+                      open.request.fingerprint);
+    if (result)
+        on_claim(*result);
+}
+
+void dispatcher::on_claim_answer(request_id id, const platform_result& result)
+{
+    const auto outcome = claims_.on_answer(id, result);
+    if (outcome)
+        on_claim(*outcome);
+}
+
+void dispatcher::on_claim_timer(request_id id)
+{
+    claims_.on_timer(id);
+}
+
+void dispatcher::on_claim(const claim_result& result)
+{
+    auto* open = find(result.id);
+    if (open == nullptr || open->step != request_step::claiming) {
+        claims_.give_up(result.id);
+        return;
+    }
+    if (result.outcome == claim_outcome::taken) {
+        open->claimed = true;
+        return enqueue(*open);
+    }
+    release(*open);
+    if (result.outcome == claim_outcome::unavailable)
+        return drop(result.id, refusal_reason::claim_unavailable,
+                    ran_state::no, brief_retry_ms);
+    const bool elsewhere = result.claimant != context_.self() &&
+                           context_.members.is_live(result.claimant);
+    if (!elsewhere || open->request.relayed)
+        return drop(result.id, refusal_reason::outcome_unknown,
+                    ran_state::unknown);
+    const auto request = open->request;
+    erase(result.id);
+    relay(request, result.claimant);
+}
+
+void dispatcher::on_timer(request_id id)
+{
+    auto* open = find(id);
+    if (open == nullptr)
+        return;
+    if (open->step == request_step::settling) {
+        send_settlement(*open);
+        return;
+    }
+    if (open->step == request_step::reserving) {
+        if (context_.now - open->arrived < owner_patience)
+            return reserve(*open);
+        release(*open);
+        return drop(id, refusal_reason::owner_unavailable, ran_state::no,
+                    brief_retry_ms);
+    }
+    if (open->step != request_step::queued)
+        return;
+    const auto latest =
+        open->arrived + std::chrono::milliseconds(open->target.first_token_ms);
+    if (context_.now < latest) {
+        context_.schedule(latest - context_.now, request_timer{id});
+        return;
+    }
+    give_up(*open, ran_state::no);
+}
+
+void dispatcher::on_gone(request_id id)
+{
+    auto* open = find(id);
+    const bool may_drop =
+        open != nullptr && open->joined == 0 && open->attempt == 0 &&
+        open->step != request_step::claiming &&
+        open->step != request_step::settling;
+    if (!may_drop)
+        return; // Runs to its end, for a retry to find and to be billed.
+    if (open->claimed)
+        claims_.give_up(id);
+    release(*open);
+    erase(id);
+}
+
+void dispatcher::on_answer_dropped(request_id id)
+{
+    const auto found = finished_ids_.find(id);
+    if (found == finished_ids_.end())
+        return;
+    finished_.erase(found->second);
+    finished_ids_.erase(found);
+}
+
+void dispatcher::on_members_changed()
+{
+    for (auto& [id, open] : open_) {
+        const bool on_grant = !open.holder.empty() && !open.unbilled;
+        if (!on_grant || context_.members.is_live(open.holder))
+            continue;
+        context_.send(context_.owner_of(open.customer),
+                      running_notice{open.customer, open.holder,
+                                     record_of(open)});
+    }
+}
+
+std::vector<customer_records>
+dispatcher::records_on(const instance_id& holder) const
+{
+    std::map<customer_id, customer_records> found;
+    for (const auto& [id, open] : open_) {
+        if (open.holder != holder || open.unbilled)
+            continue;
+        auto& entry = found[open.customer];
+        entry.customer = open.customer;
+        entry.by_holder = false;
+        entry.records.push_back(open.step == request_step::settling
+                                    ? open.ended
+                                    : record_of(open));
+    }
+    std::vector<customer_records> records;
+    for (auto& [customer, entry] : found)
+        records.push_back(std::move(entry));
+    return records;
+}
+
+key_record dispatcher::record_of(const open_request& open) const
+{
+    key_record record;
+    record.key = open.request.key;
+    record.fingerprint = open.request.fingerprint;
+    record.runner = context_.self();
+    record.id = open.request.id;
+    record.amount = open.amount;
+    return record;
+}
+
+void dispatcher::refuse(request_id id, refusal_reason reason, ran_state ran,
+                        std::int64_t retry_after_ms)
+{
+    context_.act(refuse_request{id, reason, ran, retry_after_ms});
+}
+
+void dispatcher::drop(request_id id, refusal_reason reason, ran_state ran,
+                      std::int64_t retry_after_ms)
+{
+    const auto* open = find(id);
+    if (open != nullptr)
+        context_.record(timeline_kind::request_refused, open->customer,
+                        open->request.key, std::string(name_of(reason)));
+    erase(id);
+    refuse(id, reason, ran, retry_after_ms);
+}
+
+void dispatcher::erase(request_id id)
+{
+    const auto found = open_.find(id);
+    if (found == open_.end())
+        return;
+    auto& open = found->second;
+    state_of(open.request.target).queue.erase(id);
+    running_keys_.erase({open.customer, open.request.key});
+    open_.erase(found);
+}
+
+void dispatcher::sweep()
+{
+    const auto window = context_.options.key_window;
+    std::erase_if(finished_, [&](const auto& item) {
+        const bool old = context_.now - item.second.at > window;
+        if (old)
+            finished_ids_.erase(item.second.id);
+        return old;
+    });
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/core/event_type.hpp
@@ -0,0 +1,152 @@
+/** @file event_type.hpp What a decision core is told. */
+#pragma once
+
+#include "core/peer_message_type.hpp"
+#include "route/server_directory_base.hpp"
+
+namespace rosemarydeck
+{
+
+/** A caller's request, read whole and well-formed. */
+struct caller_request
+{
+    request_id id; ///< Chosen by the traffic side, never used twice.
+    std::string api_key;
+    idempotency_key key; ///< Empty if the caller gave none.
+    std::uint64_t fingerprint = 0; ///< Hash of method, path and body.
+    std::uint64_t prefix_hash = 0; ///< Hash of the prompt's start.
+    target_id target;
+    server_kind kind = server_kind::engine;
+    priority rank = priority::standard;
+    bool repeatable = true;
+    bool relayed = false; ///< Came through another VM.
+    token_count prompt_bound = 0; ///< No tokenizer makes more of the prompt.
+    token_count max_output = 0;   ///< 0 takes the default.
+
+    bool operator==(const caller_request&) const = default;
+};
+
+/** The caller has hung up. */
+struct caller_gone
+{
+    request_id id;
+    bool operator==(const caller_gone&) const = default;
+};
+
+/** The caller of a plain service asks for a key for an order. */
+struct key_wanted
+{
+    request_id id;
+    std::string api_key;
+    bool operator==(const key_wanted&) const = default;
+};
+
+/** A kept answer had to be dropped for want of memory. */
+struct answer_dropped
+{
+    request_id id;
+    bool operator==(const answer_dropped&) const = default;
+};
+
+/** The first token of an attempt has arrived. */
+struct attempt_first_token
+{
+    request_id id;
+    std::uint32_t attempt = 0;
+    bool operator==(const attempt_first_token&) const = default;
+};
+
+/** An attempt has ended well; its end is held back from the caller. */
+struct attempt_finished
+{
+    request_id id;
+    std::uint32_t attempt = 0;
+    token_usage usage;
+    bool operator==(const attempt_finished&) const = default;
+};
+
+/** How an attempt failed. */
+enum class attempt_failure
+{
+    not_sent,  ///< No byte of it reached the backend server.
+    broken,    ///< The connection broke after bytes were sent.
+    timed_out, ///< The server fell silent.
+    rejected,  ///< The server answered that it did not run it.
+};
+
+/** An attempt has failed. */
+struct attempt_failed
+{
+    request_id id;
+    std::uint32_t attempt = 0;
+    attempt_failure failure = attempt_failure::broken;
+    token_count delivered = 0; ///< Tokens already passed to the caller.
+    bool operator==(const attempt_failed&) const = default;
+};
+
+/** A peer's message. */
+struct peer_received
+{
+    instance_id from;
+    peer_message message;
+    bool operator==(const peer_received&) const = default;
+};
+
+/** A connection to a peer is ready for use. */
+struct peer_connected
+{
+    member_info info;
+    bool operator==(const peer_connected&) const = default;
+};
+
+/** A connection to a peer is lost. */
+struct peer_disconnected
+{
+    instance_id instance;
+    bool operator==(const peer_disconnected&) const = default;
+};
+
+/** The platform's answer, or its loss. */
+struct platform_answered
+{
+    call_id call;
+    platform_result result;
+    bool operator==(const platform_answered&) const = default;
+};
+
+/** A backend server's own report. */
+struct server_reported
+{
+    server_id server;
+    load_report load;
+    bool operator==(const server_reported&) const = default;
+};
+
+/** An operator drains a backend server. */
+struct drain_server
+{
+    server_id server;
+    bool operator==(const drain_server&) const = default;
+};
+
+/** This VM is to end in good order. */
+struct drain_self
+{
+    bool operator==(const drain_self&) const = default;
+};
+
+/** Time has passed and nothing else has happened. */
+struct clock_tick
+{
+    bool operator==(const clock_tick&) const = default;
+};
+
+/** Anything that a decision core is told. */
+using core_event =
+    std::variant<caller_request, caller_gone, key_wanted, answer_dropped,
+                 attempt_first_token,
+                 attempt_finished, attempt_failed, peer_received,
+                 peer_connected, peer_disconnected, platform_answered,
+                 server_reported, drain_server, drain_self, clock_tick>;
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/core/owner_base.cpp
@@ -0,0 +1,380 @@
+/** @file owner_base.cpp Reservations, keys and their witness. */
+#include "core/owner_base.hpp"
+
+#include "core/bill_writer_base.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+constexpr std::int64_t brief_retry_ms = 500;
+constexpr std::int64_t exhausted_retry_ms = 5000;
+constexpr double seconds_per_minute = 60;
+constexpr double demand_memory_s = 60;
+
+double seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+owner::owner(core_context& context, bill_writer& bills)
+    : context_(context), bills_(bills)
+{
+}
+
+owner::owned_customer& owner::customer_of(const customer_id& customer)
+{
+    return customers_[customer];
+}
+
+void owner::on_reserve(const instance_id& from, const reserve_request& request)
+{
+    auto& state = customer_of(request.customer);
+    if (answer_known(state, from, request))
+        return;
+    if (sealed_ || bills_.backlog_full())
+        return reply(from, request, reserve_outcome::unavailable);
+    if (!within_limits(state, request))
+        return reply(from, request, reserve_outcome::over_limit);
+    if (!state.waiting.empty() || !try_reserve(state, from, request))
+        wait(state, from, request);
+}
+
+bool owner::answer_known(owned_customer& state, const instance_id& from,
+                         const reserve_request& request)
+{
+    const auto found = state.keys.find(request.key);
+    if (found == state.keys.end() ||
+        found->second.record.state == key_state::released)
+        return false;
+    auto& entry = found->second;
+    const auto& record = entry.record;
+    const bool runner_lives = context_.members.is_live(record.runner);
+    if (record.fingerprint != request.fingerprint)
+        reply(from, request, reserve_outcome::key_conflict);
+    else if (record.state == key_state::finished)
+        reply(from, request,
+              runner_lives ? reserve_outcome::finished : reserve_outcome::rerun,
+              record.runner);
+    else if (record.runner == from && record.id == request.id) {
+        if (entry.answered)
+            reply(from, request, reserve_outcome::reserved);
+    }
+    else if (runner_lives)
+        reply(from, request, reserve_outcome::running, record.runner);
+    else if (entry.holder == context_.self())
+        take_over(state, entry, from, request);
+    else
+        return false;
+    return true;
+}
+
+void owner::take_over(owned_customer& state, owned_key& entry,
+                      const instance_id& from, const reserve_request& request)
+{
+    // The runner is lost before its end was billed, so the reservation
+    // serves the retry; whichever run ends first is billed.
+    entry.record.runner = from;
+    entry.record.id = request.id;
+    entry.answered = false;
+    replicate(request.customer, state, {request.key});
+}
+
+bool owner::within_limits(owned_customer& state, const reserve_request& request)
+{
+    const auto* rights = context_.config.rights(request.customer);
+    if (rights == nullptr)
+        return true;
+    if (state.running >= rights->max_concurrent)
+        return false;
+    const auto per_second =
+        static_cast<double>(rights->requests_per_minute) / seconds_per_minute;
+    const auto burst = std::max(per_second, 1.0);
+    if (state.rate_at == time_point{})
+        state.rate_tokens = burst;
+    else
+        state.rate_tokens = std::min(
+            burst, state.rate_tokens +
+                       per_second * seconds(context_.now - state.rate_at));
+    state.rate_at = context_.now;
+    if (state.rate_tokens < 1)
+        return false;
+    state.rate_tokens -= 1;
+    return true;
+}
+
+bool owner::solo_allows(const owned_customer& state, token_count amount) const
+{
+    return state.pool.reserved() + state.pool.used() + amount <=
+           state.pool.solo_limit();
+}
+
+bool owner::try_reserve(owned_customer& state, const instance_id& from,
+                        const reserve_request& request)
+{
+    const bool alone = context_.witness_for(request.customer).empty();
+    if (alone && !solo_allows(state, request.amount))
+        return false;
+    if (!state.pool.reserve(request.amount))
+        return false;
+    owned_key entry;
+    entry.record = {request.key, request.fingerprint, from,
+                    request.id,  request.amount,      key_state::running,
+                    {},          false};
+    entry.holder = context_.self();
+    state.keys[request.key] = std::move(entry);
+    ++state.running;
+    replicate(request.customer, state, {request.key});
+    return true;
+}
+
+void owner::wait(owned_customer& state, const instance_id& from,
+                 const reserve_request& request)
+{
+    const bool waits_already = std::any_of(
+        state.waiting.begin(), state.waiting.end(), [&](const auto& each) {
+            return each.from == from && each.request.id == request.id;
+        });
+    if (waits_already)
+        return;
+    if (context_.now < state.exhausted_until)
+        return reply(from, request, reserve_outcome::exhausted);
+    if (state.waiting.size() >= context_.options.max_waiting_reserves)
+        return reply(from, request, reserve_outcome::unavailable);
+    state.waiting.push_back({from, request, context_.now});
+    if (!state.waiting_timer_set) {
+        state.waiting_timer_set = true;
+        context_.schedule(context_.options.reserve_patience,
+                          waiting_timer{request.customer});
+    }
+    start_renewal(request.customer, state);
+}
+
+void owner::serve_waiting(owned_customer& state)
+{
+    while (!state.waiting.empty()) {
+        const auto& next = state.waiting.front();
+        if (!try_reserve(state, next.from, next.request))
+            return;
+        state.waiting.pop_front();
+    }
+}
+
+void owner::refuse_waiting(owned_customer& state, reserve_outcome outcome)
+{
+    for (const auto& each : state.waiting)
+        reply(each.from, each.request, outcome);
+    state.waiting.clear();
+}
+
+void owner::on_waiting_timer(const customer_id& customer)
+{
+    auto& state = customer_of(customer);
+    state.waiting_timer_set = false;
+    const auto patience = context_.options.reserve_patience;
+    while (!state.waiting.empty() &&
+           context_.now - state.waiting.front().since >= patience) {
+        const auto& oldest = state.waiting.front();
+        reply(oldest.from, oldest.request, reserve_outcome::unavailable);
+        state.waiting.pop_front();
+    }
+    if (state.waiting.empty())
+        return;
+    state.waiting_timer_set = true;
+    context_.schedule(state.waiting.front().since + patience - context_.now,
+                      waiting_timer{customer});
+}
+
+void owner::on_settle(const instance_id& from, const settle_request& request)
+{
+    auto& state = customer_of(request.customer);
+    const auto found = state.keys.find(request.record.key);
+    const bool is_own = found != state.keys.end() &&
+                        found->second.holder == context_.self();
+    if (is_own && found->second.record.state == key_state::running) {
+        const bool current = found->second.record.runner == from &&
+                             found->second.record.id == request.record.id;
+        // A lost runner's release must not end its successor's run.
+        if (current || request.record.state == key_state::finished) {
+            found->second.record.runner = from;
+            found->second.record.id = request.record.id;
+            settle_own(request.customer, state, found->second, request.record);
+            return;
+        }
+    }
+    const bool on_other_grant =
+        !is_own && request.holder != context_.self() &&
+        !request.holder.empty();
+    if (on_other_grant)
+        return settle_orphan(from, state, request);
+    if (is_own && found->second.witness == witness_state::waiting &&
+        from == context_.self())
+        return; // Answered when the witness has it.
+    context_.send(from, settle_reply{request.customer, request.record.key,
+                                     request.record.id});
+}
+
+void owner::settle_own(const customer_id& customer, owned_customer& state,
+                       owned_key& entry, const key_record& ended)
+{
+    auto& record = entry.record;
+    const auto net =
+        ended.state == key_state::finished ? ended.charge.net() : 0;
+    const auto credit = std::min(net, state.settled_credit);
+    state.settled_credit -= credit;
+    state.pool.settle(record.amount, net - credit);
+    state.used_total += std::min(net - credit, record.amount);
+    record.state = ended.state;
+    record.charge = ended.charge;
+    entry.ended = context_.now;
+    entry.answered = false;
+    --state.running;
+    count_demand(state, net);
+    if (record.state == key_state::finished)
+        bills_.add(record.charge);
+    const auto runner = record.runner;
+    const auto reply_key = record.key;
+    const auto reply_id = record.id;
+    replicate(customer, state, {reply_key});
+    if (runner != context_.self())
+        context_.send(runner, settle_reply{customer, reply_key, reply_id});
+    want_renewal(customer, state, context_.options.renew_every);
+    serve_waiting(state);
+}
+
+void owner::count_demand(owned_customer& state, token_count spent)
+{
+    if (state.demand_at != time_point{}) {
+        const auto passed = seconds(context_.now - state.demand_at);
+        state.demand *= std::exp(-passed / demand_memory_s);
+    }
+    state.demand_at = context_.now;
+    state.demand += static_cast<double>(spent) / demand_memory_s;
+}
+
+void owner::settle_orphan(const instance_id& from, owned_customer& state,
+                          const settle_request& request)
+{
+    auto record = request.record;
+    const auto found = state.keys.find(record.key);
+    const bool billed_here =
+        found != state.keys.end() &&
+        found->second.holder == context_.self() &&
+        found->second.record.state == key_state::finished;
+    if (billed_here)
+        record.state = key_state::released;
+    if (found == state.keys.end() || found->second.holder != context_.self()) {
+        owned_key entry;
+        entry.record = record;
+        entry.holder = request.holder;
+        entry.answered = true;
+        entry.ended = context_.now;
+        state.keys[record.key] = std::move(entry);
+    }
+    orphans_[request.customer][record.key] = request.holder;
+    context_.send(from,
+                  settle_reply{request.customer, record.key, record.id});
+    if (context_.members.is_live(request.holder))
+        context_.send(request.holder,
+                      settle_request{request.holder, request.customer, record});
+}
+
+void owner::on_running(const running_notice& notice)
+{
+    auto& state = customer_of(notice.customer);
+    if (state.keys.find(notice.record.key) != state.keys.end())
+        return;
+    owned_key entry;
+    entry.record = notice.record;
+    entry.holder = notice.holder;
+    entry.answered = true;
+    state.keys[notice.record.key] = std::move(entry);
+}
+
+void owner::on_member_up(const instance_id& instance)
+{
+    for (const auto& [customer, keys] : orphans_) {
+        const auto& state = customer_of(customer);
+        for (const auto& [key, holder] : keys) {
+            const auto found = state.keys.find(key);
+            if (holder == instance && found != state.keys.end())
+                context_.send(instance, settle_request{holder, customer,
+                                                       found->second.record});
+        }
+    }
+}
+
+void owner::on_orphan_taken(const settle_reply& reply)
+{
+    const auto found = orphans_.find(reply.customer);
+    if (found == orphans_.end())
+        return;
+    found->second.erase(reply.key);
+    if (found->second.empty())
+        orphans_.erase(found);
+}
+
+std::vector<customer_records> owner::records_on(const instance_id& lost) const
+{
+    std::vector<customer_records> found;
+    for (const auto& [customer, state] : customers_) {
+        customer_records entry{customer, 0, false, {}};
+        for (const auto& [key, owned] : state.keys)
+            if (owned.holder == lost)
+                entry.records.push_back(owned.record);
+        if (!entry.records.empty())
+            found.push_back(std::move(entry));
+    }
+    return found;
+}
+
+void owner::sweep()
+{
+    const auto window = context_.options.key_window;
+    for (auto at = customers_.begin(); at != customers_.end();) {
+        auto& state = at->second;
+        std::erase_if(state.keys, [&](const auto& item) {
+            const auto& entry = item.second;
+            return entry.record.state != key_state::running &&
+                   context_.now - entry.ended > window;
+        });
+        const bool unused = state.keys.empty() && state.waiting.empty() &&
+                            state.pool.idle() && !state.timer_set;
+        at = unused ? customers_.erase(at) : std::next(at);
+    }
+}
+
+bool owner::owns(const customer_id& customer, const idempotency_key& key) const
+{
+    const auto state = customers_.find(customer);
+    if (state == customers_.end())
+        return false;
+    const auto entry = state->second.keys.find(key);
+    return entry != state->second.keys.end() &&
+           entry->second.holder == context_.self();
+}
+
+const budget_pool* owner::pool(const customer_id& customer) const
+{
+    const auto found = customers_.find(customer);
+    return found == customers_.end() ? nullptr : &found->second.pool;
+}
+
+void owner::reply(const instance_id& to, const reserve_request& request,
+                  reserve_outcome outcome, const instance_id& runner)
+{
+    std::int64_t retry_after = brief_retry_ms;
+    if (outcome == reserve_outcome::exhausted)
+        retry_after = exhausted_retry_ms;
+    context_.send(to, reserve_reply{request.id, outcome, context_.self(),
+                                    runner, retry_after});
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/core/owner_witness.cpp
@@ -0,0 +1,146 @@
+/** @file owner_witness.cpp The owner's records at its witness. */
+#include "core/owner_base.hpp"
+
+#include "core/bill_writer_base.hpp"
+
+namespace rosemarydeck
+{
+
+void owner::replicate(const customer_id& customer, owned_customer& state,
+                      const std::vector<idempotency_key>& keys)
+{
+    const auto witness = context_.witness_for(customer);
+    if (witness.empty()) {
+        for (const auto& key : keys) {
+            auto& entry = state.keys.at(key);
+            entry.witness = witness_state::solo;
+            answer(customer, entry);
+        }
+        return;
+    }
+    auto& link = witnesses_[witness];
+    const auto number = ++link.last_number;
+    witness_put put{number, {customer, state.used_total, true, {}}};
+    for (const auto& key : keys) {
+        auto& entry = state.keys.at(key);
+        entry.witness = witness_state::waiting;
+        put.entry.records.push_back(entry.record);
+    }
+    link.sent[number] = {customer, keys};
+    context_.send(witness, std::move(put));
+}
+
+void owner::resync(const customer_id& customer, owned_customer& state)
+{
+    std::vector<idempotency_key> own;
+    for (const auto& [key, entry] : state.keys)
+        if (entry.holder == context_.self())
+            own.push_back(key);
+    if (!own.empty())
+        replicate(customer, state, own);
+}
+
+void owner::on_members_changed()
+{
+    // Records that are on their way to a witness that is no longer live are
+    // sent again, with all others, to the next one in order.
+    for (auto& [instance, link] : witnesses_)
+        if (!context_.members.is_live(instance))
+            link.sent.clear();
+    for (auto& [customer, state] : customers_) {
+        resync(customer, state);
+        // Alone, the grant has to be marked so before more of it is spent.
+        if (context_.witness_for(customer).empty())
+            want_renewal(customer, state, duration{});
+    }
+}
+
+void owner::on_witness_ack(const instance_id& from, const witness_ack& ack)
+{
+    auto& link = witnesses_[from];
+    const auto found = link.sent.find(ack.number);
+    if (found == link.sent.end())
+        return;
+    const auto sent = std::move(found->second);
+    link.sent.erase(found);
+    if (ack.sealed) {
+        if (!sealed_)
+            context_.record(timeline_kind::grant_sealed, sent.customer, {},
+                            "this VM was taken for gone by " + from.value());
+        sealed_ = true;
+        return;
+    }
+    const auto customer = customers_.find(sent.customer);
+    if (customer == customers_.end())
+        return;
+    for (const auto& key : sent.keys) {
+        const auto entry = customer->second.keys.find(key);
+        if (entry == customer->second.keys.end())
+            continue;
+        entry->second.witness = witness_state::held;
+        answer(sent.customer, entry->second);
+    }
+}
+
+void owner::answer(const customer_id& customer, owned_key& entry)
+{
+    if (entry.answered || entry.holder != context_.self())
+        return;
+    entry.answered = true;
+    const auto& record = entry.record;
+    if (record.state == key_state::running)
+        context_.send(record.runner,
+                      reserve_reply{record.id, reserve_outcome::reserved,
+                                    context_.self(), record.runner, 0});
+    else if (record.runner == context_.self())
+        context_.send(record.runner,
+                      settle_reply{customer, record.key, record.id});
+}
+
+bool owner::adopt_record(const instance_id& lost, const customer_id& customer,
+                         owned_customer& state, const key_record& record)
+{
+    const auto known = state.keys.find(record.key);
+    if (known != state.keys.end() && known->second.holder == context_.self())
+        return false;
+    if (record.state == key_state::finished && !record.stored)
+        bills_.add(record.charge);
+    // A runner may have reported the end while the grant was being adopted.
+    std::optional<key_record> ended;
+    if (known != state.keys.end() &&
+        known->second.record.state != key_state::running)
+        ended = known->second.record;
+    auto& entry = state.keys[record.key];
+    entry.record = record;
+    entry.holder = lost;
+    entry.answered = true;
+    entry.ended = context_.now;
+    if (record.state != key_state::running)
+        return false;
+    entry.holder = context_.self();
+    ++state.running;
+    if (ended)
+        settle_own(customer, state, entry, *ended);
+    return !ended;
+}
+
+void owner::adopt(const instance_id& lost, const customer_records& found,
+                  token_count open, token_count already_settled)
+{
+    auto& state = customer_of(found.customer);
+    state.pool.adopt(open);
+    state.settled_credit += already_settled;
+    std::vector<idempotency_key> adopted;
+    for (const auto& record : found.records)
+        if (adopt_record(lost, found.customer, state, record))
+            adopted.push_back(record.key);
+    orphans_.erase(found.customer);
+    if (!adopted.empty())
+        replicate(found.customer, state, adopted);
+    want_renewal(found.customer, state, duration{});
+    context_.record(timeline_kind::grant_adopted, found.customer, {},
+                    "from " + lost.value() + ", open " +
+                        std::to_string(open));
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/member/membership_base.cpp
@@ -0,0 +1,172 @@
+/** @file membership_base.cpp Which VMs are live, and who owns a customer. */
+#include "member/membership_base.hpp"
+
+#include "common/hash_func.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+membership::membership(membership_options options)
+    : options_(std::move(options))
+{
+    rebuild();
+}
+
+std::vector<member_change> membership::hear(const member_info& info,
+                                            time_point now)
+{
+    if (info.instance == options_.self.instance)
+        return {};
+    const auto [found, is_new] = members_.try_emplace(info.instance);
+    auto& member = found->second;
+    if (is_new) {
+        member = {info, member_state::suspected, now, now, options_.probation};
+        return move(member, member_state::live);
+    }
+    if (member.state == member_state::gone)
+        return {};
+    member.info = info;
+    member.heard = now;
+    if (member.state == member_state::suspected) {
+        member.trusted_from = now + member.probation;
+        member.probation =
+            std::min(member.probation * 2, options_.max_probation);
+        return move(member, member_state::probation);
+    }
+    if (member.state == member_state::probation && now >= member.trusted_from)
+        return move(member, member_state::live);
+    return {};
+}
+
+std::vector<member_change> membership::lose(const instance_id& instance)
+{
+    const auto found = members_.find(instance);
+    if (found == members_.end() || found->second.state == member_state::gone)
+        return {};
+    return move(found->second, member_state::suspected);
+}
+
+std::vector<member_change> membership::end(const instance_id& instance)
+{
+    const auto found = members_.find(instance);
+    if (found == members_.end())
+        return {};
+    return move(found->second, member_state::gone);
+}
+
+std::vector<member_change> membership::tick(time_point now)
+{
+    std::vector<member_change> changes;
+    for (auto& [instance, member] : members_) {
+        const bool heard = member.state == member_state::live ||
+                           member.state == member_state::probation;
+        if (!heard || now - member.heard < options_.suspect_after)
+            continue;
+        for (auto& change : move(member, member_state::suspected))
+            changes.push_back(change);
+    }
+    return changes;
+}
+
+const member_info* membership::find(const instance_id& instance) const
+{
+    const auto found = members_.find(instance);
+    return found == members_.end() ? nullptr : &found->second.info;
+}
+
+member_state membership::state_of(const instance_id& instance) const
+{
+    const auto found = members_.find(instance);
+    return found == members_.end() ? member_state::gone : found->second.state;
+}
+
+bool membership::is_live(const instance_id& instance) const
+{
+    return instance == options_.self.instance ||
+           state_of(instance) == member_state::live;
+}
+
+const std::vector<instance_id>&
+membership::live_in(const dc_id& data_centre) const
+{
+    static const std::vector<instance_id> none;
+    const auto found = live_.find(data_centre);
+    return found == live_.end() ? none : found->second;
+}
+
+std::vector<instance_id> membership::possible_peers() const
+{
+    std::vector<instance_id> peers;
+    for (const auto& [instance, member] : members_)
+        if (member.state != member_state::gone &&
+            member.info.data_centre == options_.self.data_centre)
+            peers.push_back(instance);
+    return peers;
+}
+
+std::vector<instance_id> membership::known() const
+{
+    std::vector<instance_id> found;
+    for (const auto& [instance, member] : members_)
+        if (member.state != member_state::gone)
+            found.push_back(instance);
+    return found;
+}
+
+std::vector<member_info> membership::live_members() const
+{
+    std::vector<member_info> live;
+    for (const auto& [instance, member] : members_)
+        if (member.state == member_state::live)
+            live.push_back(member.info);
+    return live;
+}
+
+std::vector<dc_id> membership::live_data_centres() const
+{
+    std::vector<dc_id> found;
+    for (const auto& [data_centre, instances] : live_)
+        found.push_back(data_centre);
+    return found;
+}
+
+std::vector<instance_id>
+membership::ranking(std::string_view key, const dc_id& data_centre) const
+{
+    const auto& live = live_in(data_centre);
+    std::vector<std::string> names;
+    names.reserve(live.size());
+    for (const auto& instance : live) {
+        const auto* member = find(instance);
+        const auto& info = member == nullptr ? options_.self : *member;
+        names.push_back(info.vm.value());
+    }
+    std::vector<instance_id> ranked;
+    ranked.reserve(live.size());
+    for (const auto index : rendezvous_order(key, names))
+        ranked.push_back(live[index]);
+    return ranked;
+}
+
+std::vector<member_change> membership::move(record& member, member_state to)
+{
+    if (member.state == to)
+        return {};
+    member.state = to;
+    rebuild();
+    return {{member.info.instance, to}};
+}
+
+void membership::rebuild()
+{
+    live_.clear();
+    live_[options_.self.data_centre].push_back(options_.self.instance);
+    for (const auto& [instance, member] : members_)
+        if (member.state == member_state::live)
+            live_[member.info.data_centre].push_back(instance);
+    ++epoch_;
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/request/bill_outbox_base.cpp
@@ -0,0 +1,53 @@
+/** @file bill_outbox_base.cpp Bills that wait for the platform. */
+#include "request/bill_outbox_base.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+/** Keeps a batch of the longest allowed names under one object's size. */
+constexpr std::size_t max_batch_bills = 1500;
+
+} // namespace
+
+bill_outbox::bill_outbox(std::string prefix) : prefix_(std::move(prefix)) {}
+
+void bill_outbox::add(bill entry)
+{
+    waiting_.push_back(std::move(entry));
+}
+
+std::size_t bill_outbox::size() const
+{
+    return waiting_.size() + (in_flight_ ? in_flight_->batch.bills.size() : 0);
+}
+
+std::optional<named_batch> bill_outbox::next_batch()
+{
+    if (in_flight_)
+        return in_flight_;
+    if (waiting_.empty())
+        return std::nullopt;
+    const auto count = std::min(waiting_.size(), max_batch_bills);
+    named_batch next{prefix_ + std::to_string(++sequence_), {}};
+    next.batch.bills.assign(waiting_.begin(),
+                            waiting_.begin() + std::ptrdiff_t(count));
+    waiting_.erase(waiting_.begin(), waiting_.begin() + std::ptrdiff_t(count));
+    in_flight_ = std::move(next);
+    return in_flight_;
+}
+
+std::vector<bill> bill_outbox::confirm()
+{
+    if (!in_flight_)
+        return {};
+    auto stored = std::move(in_flight_->batch.bills);
+    in_flight_.reset();
+    return stored;
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/request/bill_type.hpp
@@ -0,0 +1,66 @@
+/** @file bill_type.hpp Usage, bills and their batches. */
+#pragma once
+
+#include "common/id_type.hpp"
+#include "common/priority_type.hpp"
+
+#include <vector>
+
+namespace rosemarydeck
+{
+
+/** Tokens that a backend server reports for one answer. */
+struct token_usage
+{
+    token_count prompt = 0;
+    token_count completion = 0;
+
+    /** @return All tokens of the answer. */
+    [[nodiscard]] token_count total() const { return prompt + completion; }
+    bool operator==(const token_usage&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(token_usage, prompt, completion)
+
+/** How long an answer took. */
+struct answer_timing
+{
+    std::int64_t first_token_ms = 0;
+    std::int64_t whole_answer_ms = 0;
+
+    bool operator==(const answer_timing&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_timing, first_token_ms,
+                                   whole_answer_ms)
+
+/** The one bill of one request; its identity is customer and key. */
+struct bill
+{
+    customer_id customer;
+    idempotency_key key;
+    target_id target;
+    priority rank = priority::standard;
+    token_usage usage;
+    token_count charged = 0;  ///< Taken off the budget before any refund.
+    token_count refunded = 0; ///< Given back because the answer was late.
+    answer_timing timing;
+    std::int64_t at_us = 0; ///< Microseconds since the Unix epoch.
+
+    /** @return What the request costs the customer in the end. */
+    [[nodiscard]] token_count net() const { return charged - refunded; }
+    bool operator==(const bill&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(bill, customer, key, target, rank, usage,
+                                   charged, refunded, timing, at_us)
+
+/** Bills written to the platform as one object. */
+struct bill_batch
+{
+    std::vector<bill> bills;
+
+    bool operator==(const bill_batch&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(bill_batch, bills)
+
+inline const std::string bills_prefix = "bills/";
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/request/charge_func.cpp
@@ -0,0 +1,32 @@
+/** @file charge_func.cpp What an answer costs and what is refunded. */
+#include "request/charge_func.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+constexpr std::int64_t all_percent = 100;
+
+bool is_late(const answer_timing& timing, const service_target& target)
+{
+    return timing.first_token_ms > target.first_token_ms ||
+           timing.whole_answer_ms > target.whole_answer_ms;
+}
+
+} // namespace
+
+bill price(bill draft, token_count reserved, const service_target& target)
+{
+    draft.charged =
+        std::clamp<token_count>(draft.usage.total(), 0, reserved);
+    draft.refunded = 0;
+    if (is_late(draft.timing, target))
+        draft.refunded = draft.charged * target.refund_percent / all_percent;
+    return draft;
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/timeline/timeline_base.cpp
@@ -0,0 +1,59 @@
+/** @file timeline_base.cpp The bounded ring of a VM's events. */
+#include "timeline/timeline_base.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+hybrid_time hybrid_clock::next(time_point now)
+{
+    const auto wall = to_microseconds(now);
+    if (wall > last_.wall_us)
+        last_ = {wall, 0};
+    else
+        ++last_.counter;
+    return last_;
+}
+
+void hybrid_clock::observe(hybrid_time seen)
+{
+    last_ = std::max(last_, seen);
+}
+
+timeline_ring::timeline_ring(std::size_t capacity) : events_(capacity) {}
+
+void timeline_ring::push(timeline_event event)
+{
+    events_.push_back(std::move(event));
+}
+
+std::vector<timeline_event>
+timeline_ring::select(const timeline_filter& filter) const
+{
+    std::vector<timeline_event> chosen;
+    for (const auto& event : events_) {
+        if (!filter.customer.empty() && event.customer != filter.customer)
+            continue;
+        if (!filter.key.empty() && event.key != filter.key)
+            continue;
+        if (!filter.kind.empty() &&
+            nlohmann::json(event.kind).get<std::string>() != filter.kind)
+            continue;
+        chosen.push_back(event);
+    }
+    return chosen;
+}
+
+std::vector<timeline_event> merge_events(std::vector<timeline_event> events)
+{
+    std::stable_sort(events.begin(), events.end(),
+                     [](const auto& left, const auto& right) {
+                         if (left.when != right.when)
+                             return left.when < right.when;
+                         return left.vm < right.vm;
+                     });
+    return events;
+}
+
+} // namespace rosemarydeck
