--- a/packages/budget/account_cmd.cpp
+++ b/packages/budget/account_cmd.cpp
@@ -3,11 +3,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr std::int64_t all_percent = 100;
 
@@ -111,8 +109,7 @@
 {
     try {
         return nlohmann::json::parse(text).get<account>();
-    }
-    catch (const nlohmann::json::exception& fault) {
+    } catch (const nlohmann::json::exception& fault) {
         return fail(error_code::invalid_input, "read account", fault.what());
     }
 }
--- a/packages/budget/account_cmd.hpp
+++ b/packages/budget/account_cmd.hpp
@@ -4,8 +4,7 @@
 #include "budget/account_type.hpp"
 #include "common/error_type.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** @return Tokens of an account that no one holds and no one has spent. */
 token_count unassigned(const account& value);
@@ -19,11 +18,11 @@
     instance_id holder;
     dc_id data_centre;
     std::uint64_t sequence = 0;
-    token_count used = 0;      ///< Spent since the last renewal.
-    token_count extra = 0;     ///< Wanted on top; negative gives back.
-    bool alone = false;        ///< No other VM can be a witness.
+    token_count used = 0;  ///< Spent since the last renewal.
+    token_count extra = 0; ///< Wanted on top; negative gives back.
+    bool alone = false;    ///< No other VM can be a witness.
     std::int64_t solo_percent = 0;
-    token_count prepaid = 0;   ///< From the plan in force at the holder.
+    token_count prepaid = 0; ///< From the plan in force at the holder.
     object_version plan_version = 0;
 
     bool operator==(const renewal&) const = default;
@@ -54,8 +53,8 @@
     instance_id heir;
     dc_id data_centre;
     token_count used_total = 0; ///< All that the lost holder ever settled.
-    token_count open = 0; ///< Reserved by requests that still run.
-    bool exact = false;   ///< Every witness has been heard.
+    token_count open = 0;       ///< Reserved by requests that still run.
+    bool exact = false;         ///< Every witness has been heard.
 
     bool operator==(const adoption&) const = default;
 };
--- a/packages/budget/account_type.hpp
+++ b/packages/budget/account_type.hpp
@@ -6,16 +6,15 @@
 
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Tokens that one instance may spend without asking the platform. */
 struct grant_entry
 {
     instance_id holder;
     dc_id data_centre;
-    token_count amount = 0; ///< Granted and not yet settled.
-    token_count solo = 0;   ///< Part that may be spent without a witness.
+    token_count amount = 0;     ///< Granted and not yet settled.
+    token_count solo = 0;       ///< Part that may be spent without a witness.
     token_count used_total = 0; ///< All that this holder ever settled.
     std::uint64_t sequence = 0; ///< Of the holder's last renewal.
     token_count last_extra = 0; ///< What that renewal brought on top.
--- a/packages/budget/budget_pool_base.cpp
+++ b/packages/budget/budget_pool_base.cpp
@@ -3,8 +3,7 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 token_count budget_pool::available() const
 {
--- a/packages/budget/budget_pool_base.hpp
+++ b/packages/budget/budget_pool_base.hpp
@@ -4,8 +4,7 @@
 #include "common/id_type.hpp"
 #include "common/time_type.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** A renewal that has been sent and not yet confirmed. */
 struct pending_renewal
--- a/packages/common/error_type.hpp
+++ b/packages/common/error_type.hpp
@@ -4,8 +4,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** What kind of failure an error reports. */
 enum class error_code
--- a/packages/common/hash_func.cpp
+++ b/packages/common/hash_func.cpp
@@ -4,8 +4,7 @@
 #include <algorithm>
 #include <numeric>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 std::uint64_t mix_bits(std::uint64_t value)
 {
--- a/packages/common/id_type.hpp
+++ b/packages/common/id_type.hpp
@@ -8,8 +8,7 @@
 #include <string>
 #include <utility>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** A string that identifies one kind of thing and nothing else. */
 template <class Tag>
--- a/packages/common/priority_type.hpp
+++ b/packages/common/priority_type.hpp
@@ -8,8 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Priority of a request, most urgent first. */
 enum class priority
--- a/packages/common/time_type.hpp
+++ b/packages/common/time_type.hpp
@@ -4,8 +4,7 @@
 #include <chrono>
 #include <optional>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Length of time as the decision core counts it, in microseconds. */
 using duration = std::chrono::microseconds;
--- a/packages/config/config_base.cpp
+++ b/packages/config/config_base.cpp
@@ -5,11 +5,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 bool has_prefix(const std::string& name, const std::string& prefix)
 {
@@ -131,8 +129,8 @@
     const customer_id named(tail(object.name, plans_prefix));
     if (plan && plan->customer == named)
         forget_keys(named);
-    const auto fault = put_entry(
-        plans_, named, plan ? plan->customer : customer_id(), plan);
+    const auto fault =
+        put_entry(plans_, named, plan ? plan->customer : customer_id(), plan);
     if (!fault.empty())
         return fault;
     for (const auto& key : plan->api_keys)
@@ -146,8 +144,7 @@
         const customer_id customer(tail(name, plans_prefix));
         forget_keys(customer);
         plans_.erase(customer);
-    }
-    else if (has_prefix(name, allowances_prefix))
+    } else if (has_prefix(name, allowances_prefix))
         allowances_.erase(customer_id(tail(name, allowances_prefix)));
     else if (has_prefix(name, servers_prefix))
         servers_.erase(server_id(tail(name, servers_prefix)));
--- a/packages/config/config_base.hpp
+++ b/packages/config/config_base.hpp
@@ -10,8 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** What became of one object that was offered. */
 struct config_change
@@ -37,8 +36,9 @@
      * are all there is.
      * @return One entry for each object that was news.
      */
-    std::vector<config_change> apply(const std::vector<platform_object>& objects,
-                                     object_version complete_to);
+    std::vector<config_change>
+    apply(const std::vector<platform_object>& objects,
+          object_version complete_to);
 
     /** @return Revision up to which everything is known. */
     [[nodiscard]] object_version revision() const { return revision_; }
--- a/packages/config/config_type.hpp
+++ b/packages/config/config_type.hpp
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Targets of one priority; an answer later than these is refunded. */
 struct service_target
@@ -57,8 +56,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(allowance, customer, targets,
                                                 priorities, max_concurrent,
-                                                requests_per_minute,
-                                                max_tokens)
+                                                requests_per_minute, max_tokens)
 
 /** What a backend server is. */
 enum class server_kind
--- a/packages/core/action_type.hpp
+++ b/packages/core/action_type.hpp
@@ -3,8 +3,7 @@
 
 #include "core/peer_message_type.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Why a request is refused or has failed. */
 enum class refusal_reason
@@ -81,19 +80,11 @@
     server_id server;
     std::string address;
     std::uint16_t port = 0;
-    std::uint64_t fence = 0;     ///< Grows with each order of this VM.
-    token_count resume_at = 0;   ///< Tokens that the caller already has.
+    std::uint64_t fence = 0;   ///< Grows with each order of this VM.
+    token_count resume_at = 0; ///< Tokens that the caller already has.
     bool operator==(const dispatch_attempt&) const = default;
 };
 
-/** The attempt is to be broken off. */
-struct cancel_attempt
-{
-    request_id id;
-    std::uint32_t attempt = 0;
-    bool operator==(const cancel_attempt&) const = default;
-};
-
 /** The end of the answer may be sent; it is billed. */
 struct finish_request
 {
@@ -132,8 +123,8 @@
 
 /** Anything that a decision core wants done. */
 using core_action =
-    std::variant<refuse_request, issue_key, join_request, relay_request, dispatch_attempt,
-                 cancel_attempt, finish_request, send_peer, call_platform,
+    std::variant<refuse_request, issue_key, join_request, relay_request,
+                 dispatch_attempt, finish_request, send_peer, call_platform,
                  record_event, drained>;
 
 /** @return The reason's name as callers see it. */
--- a/packages/core/adoption_base.cpp
+++ b/packages/core/adoption_base.cpp
@@ -6,11 +6,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 std::vector<key_record>::iterator find_key(std::vector<key_record>& records,
                                            const idempotency_key& key)
@@ -68,7 +66,8 @@
 std::uint64_t adoption_role::view() const
 {
     std::string names;
-    for (const auto& instance : context_.members.live_in(context_.data_centre()))
+    for (const auto& instance :
+         context_.members.live_in(context_.data_centre()))
         names += instance.value() + ",";
     return stable_hash(names);
 }
@@ -143,9 +142,9 @@
     for (auto& record : records) {
         if (record.state != key_state::running)
             continue;
-        const bool runs = record.runner == context_.self() ||
-                          context_.members.state_of(record.runner) !=
-                              member_state::gone;
+        const bool runs =
+            record.runner == context_.self() ||
+            context_.members.state_of(record.runner) != member_state::gone;
         if (!runs || owner_.owns(customer, record.key))
             record.state = key_state::released;
         else
--- a/packages/core/adoption_base.hpp
+++ b/packages/core/adoption_base.hpp
@@ -9,8 +9,7 @@
 #include <optional>
 #include <set>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /**
  * When a VM is gone, every VM of its data centre seals it and sends what it
@@ -45,7 +44,7 @@
 private:
     struct heir_task
     {
-        customer_records found;            ///< What the holder told.
+        customer_records found;             ///< What the holder told.
         std::vector<key_record> by_runners; ///< What the runners told.
         bool done = false;
         bool started = false;
--- a/packages/core/bill_writer_base.hpp
+++ b/packages/core/bill_writer_base.hpp
@@ -4,8 +4,7 @@
 #include "core/core_context_base.hpp"
 #include "request/bill_outbox_base.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Keeps bills until the platform has confirmed them. */
 class bill_writer
--- a/packages/core/claim_base.cpp
+++ b/packages/core/claim_base.cpp
@@ -1,11 +1,9 @@
 /** @file claim_base.cpp The right to run a request that may run only once. */
 #include "core/claim_base.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 const std::string claims_prefix = "claims/";
 const std::string issued_prefix = "order:";
@@ -18,8 +16,7 @@
 {
     try {
         return nlohmann::json::parse(text).get<claim_object>();
-    }
-    catch (const nlohmann::json::exception&) {
+    } catch (const nlohmann::json::exception&) {
         return {};
     }
 }
@@ -127,14 +124,13 @@
     return std::nullopt;
 }
 
-std::optional<claim_result> claim_desk::on_found(request_id id,
-                                                 open_claim& claim,
-                                                 const std::string& text)
+std::optional<claim_result>
+claim_desk::on_found(request_id id, open_claim& claim, const std::string& text)
 {
     const auto found = parse_claim(text);
     const bool own = found.claimant == context_.self();
-    const bool free = own && (found.token == id.value() ||
-                              given_up_.erase(found.token) > 0);
+    const bool free =
+        own && (found.token == id.value() || given_up_.erase(found.token) > 0);
     if (!free) {
         claims_.erase(id);
         return claim_result{id, claim_outcome::elsewhere, found.claimant};
--- a/packages/core/claim_base.hpp
+++ b/packages/core/claim_base.hpp
@@ -8,8 +8,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** What a claim in the platform says. */
 struct claim_object
--- a/packages/core/config_sync_base.cpp
+++ b/packages/core/config_sync_base.cpp
@@ -3,11 +3,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr duration pull_pause = std::chrono::milliseconds(300);
 const std::string watch_place = "configuration watch";
@@ -20,11 +18,9 @@
 {
     const auto ranked =
         context_.members.ranking(watch_place, context_.data_centre());
-    const auto count =
-        std::min(ranked.size(), context_.options.watch_holders);
+    const auto count = std::min(ranked.size(), context_.options.watch_holders);
     return std::find(ranked.begin(), ranked.begin() + std::ptrdiff_t(count),
-                     context_.self()) !=
-           ranked.begin() + std::ptrdiff_t(count);
+                     context_.self()) != ranked.begin() + std::ptrdiff_t(count);
 }
 
 void config_sync::on_members_changed()
--- a/packages/core/core_context_base.cpp
+++ b/packages/core/core_context_base.cpp
@@ -3,11 +3,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr duration report_age = std::chrono::seconds(3);
 constexpr duration failure_pause = std::chrono::milliseconds(500);
--- a/packages/core/core_options_type.hpp
+++ b/packages/core/core_options_type.hpp
@@ -6,8 +6,7 @@
 
 #include <cstdint>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Settings of one decision core. */
 struct core_options
--- a/packages/core/core_timer_type.hpp
+++ b/packages/core/core_timer_type.hpp
@@ -5,8 +5,7 @@
 
 #include <variant>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Sends heartbeats and judges members. */
 struct heartbeat_timer
@@ -60,9 +59,8 @@
 };
 
 /** Any timer of a decision core. */
-using core_timer =
-    std::variant<heartbeat_timer, renew_timer, waiting_timer, bills_timer,
-                 config_timer, request_timer, claim_timer, adoption_timer,
-                 sweep_timer>;
+using core_timer = std::variant<heartbeat_timer, renew_timer, waiting_timer,
+                                bills_timer, config_timer, request_timer,
+                                claim_timer, adoption_timer, sweep_timer>;
 
 } // namespace rosemarydeck
--- a/packages/core/decision_core_base.cpp
+++ b/packages/core/decision_core_base.cpp
@@ -5,22 +5,22 @@
 
 #include <array>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr duration sweep_every = std::chrono::seconds(10);
 
-constexpr std::array reason_names{
-    "not_ready",           "unknown_api_key",    "target_not_allowed",
-    "priority_not_allowed", "too_large",         "too_many_requests",
-    "overloaded",          "would_be_late",      "no_server",
-    "draining",            "key_conflict",       "key_in_use",
-    "budget_exhausted",    "budget_unavailable", "owner_unavailable",
-    "claim_unavailable",   "bills_backlog",      "crashes_servers",
-    "server_failed",       "outcome_unknown"};
+constexpr std::array reason_names{"not_ready",          "unknown_api_key",
+                                  "target_not_allowed", "priority_not_allowed",
+                                  "too_large",          "too_many_requests",
+                                  "overloaded",         "would_be_late",
+                                  "no_server",          "draining",
+                                  "key_conflict",       "key_in_use",
+                                  "budget_exhausted",   "budget_unavailable",
+                                  "owner_unavailable",  "claim_unavailable",
+                                  "bills_backlog",      "crashes_servers",
+                                  "server_failed",      "outcome_unknown"};
 
 } // namespace
 
@@ -32,8 +32,7 @@
 decision_core::decision_core(core_options options)
     : context_(std::move(options)), bills_(context_), owner_(context_, bills_),
       witness_(context_), dispatcher_(context_),
-      adoption_(context_, owner_, witness_, dispatcher_),
-      config_sync_(context_)
+      adoption_(context_, owner_, witness_, dispatcher_), config_sync_(context_)
 {
     context_.schedule(duration{}, heartbeat_timer{});
     context_.schedule(duration{}, config_timer{});
@@ -64,8 +63,7 @@
         else if (auto timer = context_.take_due())
             on_timer(*timer);
         else if (!context_.stale_grants.empty())
-            for (const auto& grant :
-                 std::exchange(context_.stale_grants, {}))
+            for (const auto& grant : std::exchange(context_.stale_grants, {}))
                 adoption_.on_stale_grant(grant);
         else
             return;
@@ -175,7 +173,9 @@
             [&](const config_pull& one) { config_sync_.on_pull(from, one); },
             [&](const config_push& one) { config_sync_.on_push(from, one); },
             [&](const reserve_request& one) { owner_.on_reserve(from, one); },
-            [&](const reserve_reply& one) { dispatcher_.on_reserve_reply(one); },
+            [&](const reserve_reply& one) {
+                dispatcher_.on_reserve_reply(one);
+            },
             [&](const settle_request& one) { owner_.on_settle(from, one); },
             [&](const settle_reply& one) {
                 owner_.on_orphan_taken(one);
@@ -297,7 +297,8 @@
 
 void decision_core::beat()
 {
-    const heartbeat message{context_.options.self, context_.clock.next(context_.now),
+    const heartbeat message{context_.options.self,
+                            context_.clock.next(context_.now),
                             context_.config.revision(), context_.draining};
     for (const auto& instance : context_.members.known())
         context_.send(instance, message);
@@ -311,8 +312,8 @@
         return;
     for (const auto& instance : context_.members.known()) {
         const auto* member = context_.members.find(instance);
-        const bool silent = context_.members.state_of(instance) ==
-                            member_state::suspected;
+        const bool silent =
+            context_.members.state_of(instance) == member_state::suspected;
         if (silent && listed.find(member->vm) == listed.end())
             on_member_changes(context_.members.end(instance));
     }
@@ -322,8 +323,8 @@
 {
     if (!context_.draining || said_goodbye_)
         return;
-    const bool idle = dispatcher_.open_count() == 0 && owner_.drained() &&
-                      bills_.size() == 0;
+    const bool idle =
+        dispatcher_.open_count() == 0 && owner_.drained() && bills_.size() == 0;
     if (!idle)
         return;
     said_goodbye_ = true;
--- a/packages/core/decision_core_base.hpp
+++ b/packages/core/decision_core_base.hpp
@@ -9,8 +9,7 @@
 #include "core/owner_base.hpp"
 #include "core/witness_base.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** One backend server's state, for operators. */
 struct server_status
--- a/packages/core/dispatcher_attempt.cpp
+++ b/packages/core/dispatcher_attempt.cpp
@@ -3,11 +3,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 /** Weight of the newest reading in a smoothed rate. */
 constexpr double smoothing = 0.1;
@@ -53,9 +51,8 @@
         return drop(id, refusal_reason::would_be_late, ran_state::no, later);
     }
     open.step = request_step::queued;
-    const waiting_request item{id,          open.customer,
-                               open.request.rank, open.weight,
-                               open.amount, context_.now};
+    const waiting_request item{id,          open.customer, open.request.rank,
+                               open.weight, open.amount,   context_.now};
     if (!state_of(target).queue.push(item)) {
         if (open.claimed)
             claims_.give_up(id);
@@ -106,10 +103,9 @@
     open.dispatched = context_.now;
     ++open.attempt;
     context_.servers.begin(server);
-    context_.record(timeline_kind::attempt_dispatched, open.customer,
-                    open.request.key,
-                    server.value() + ", attempt " +
-                        std::to_string(open.attempt));
+    context_.record(
+        timeline_kind::attempt_dispatched, open.customer, open.request.key,
+        server.value() + ", attempt " + std::to_string(open.attempt));
     context_.act(dispatch_attempt{open.request.id, open.attempt, server,
                                   entry->address, entry->port, ++fence_,
                                   open.delivered});
@@ -140,14 +136,14 @@
     context_.servers.succeed(open->server);
     if (open->claimed)
         claims_.mark_run(event.id);
-    const auto took = std::chrono::duration<double>(context_.now -
-                                                    open->dispatched);
+    const auto took =
+        std::chrono::duration<double>(context_.now - open->dispatched);
     auto& rate = state_of(open->request.target).tokens_per_second;
     if (took.count() > 0) {
         const auto reading =
             static_cast<double>(event.usage.total()) / took.count();
-        rate = rate == 0 ? reading
-                         : rate * (1 - smoothing) + reading * smoothing;
+        rate =
+            rate == 0 ? reading : rate * (1 - smoothing) + reading * smoothing;
     }
     const auto target = open->request.target;
     if (!open->first_token)
@@ -216,9 +212,10 @@
         return;
     auto record = record_of(open);
     record.state = key_state::released;
-    const auto to = open.holder.empty() || !context_.members.is_live(open.holder)
-                        ? context_.owner_of(open.customer)
-                        : open.holder;
+    const auto to =
+        open.holder.empty() || !context_.members.is_live(open.holder)
+            ? context_.owner_of(open.customer)
+            : open.holder;
     context_.send(to, settle_request{open.holder, open.customer, record});
 }
 
@@ -251,8 +248,7 @@
         open->excluded.push_back(open->server);
         open->delivered = event.delivered;
         enqueue(*open);
-    }
-    else {
+    } else {
         const bool not_run =
             event.failure == attempt_failure::not_sent && open->attempt == 1;
         give_up(*open, not_run ? ran_state::no : ran_state::unknown);
--- a/packages/core/dispatcher_base.cpp
+++ b/packages/core/dispatcher_base.cpp
@@ -3,11 +3,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr std::int64_t brief_retry_ms = 500;
 constexpr std::int64_t drain_retry_ms = 100;
@@ -38,14 +36,15 @@
 {
     if (request.kind == server_kind::service)
         return context_.options.service_cost;
-    const auto output = request.max_output > 0 ? request.max_output
-                                               : context_.options.default_output;
+    const auto output = request.max_output > 0
+                            ? request.max_output
+                            : context_.options.default_output;
     return request.prompt_bound + output;
 }
 
-std::optional<refusal_reason>
-dispatcher::check(const caller_request& request, const customer_id* customer,
-                  token_count amount) const
+std::optional<refusal_reason> dispatcher::check(const caller_request& request,
+                                                const customer_id* customer,
+                                                token_count amount) const
 {
     if (context_.draining)
         return refusal_reason::draining;
@@ -133,8 +132,8 @@
         relay(request, issuer);
     else
         // Only the issuer may run it, and it can't be asked.
-        refuse(request.id, refusal_reason::outcome_unknown,
-               ran_state::unknown, brief_retry_ms);
+        refuse(request.id, refusal_reason::outcome_unknown, ran_state::unknown,
+               brief_retry_ms);
     return true;
 }
 
@@ -152,10 +151,9 @@
 void dispatcher::reserve(open_request& open)
 {
     const auto owner = context_.owner_of(open.customer);
-    context_.send(owner, reserve_request{open.request.id, open.customer,
-                                         open.request.key,
-                                         open.request.fingerprint,
-                                         open.amount});
+    context_.send(
+        owner, reserve_request{open.request.id, open.customer, open.request.key,
+                               open.request.fingerprint, open.amount});
     context_.schedule(context_.options.resend_after,
                       request_timer{open.request.id});
 }
@@ -245,8 +243,8 @@
     }
     release(*open);
     if (result.outcome == claim_outcome::unavailable)
-        return drop(result.id, refusal_reason::claim_unavailable,
-                    ran_state::no, brief_retry_ms);
+        return drop(result.id, refusal_reason::claim_unavailable, ran_state::no,
+                    brief_retry_ms);
     const bool elsewhere = result.claimant != context_.self() &&
                            context_.members.is_live(result.claimant);
     if (!elsewhere || open->request.relayed)
@@ -287,10 +285,10 @@
 void dispatcher::on_gone(request_id id)
 {
     auto* open = find(id);
-    const bool may_drop =
-        open != nullptr && open->joined == 0 && open->attempt == 0 &&
-        open->step != request_step::claiming &&
-        open->step != request_step::settling;
+    const bool may_drop = open != nullptr && open->joined == 0 &&
+                          open->attempt == 0 &&
+                          open->step != request_step::claiming &&
+                          open->step != request_step::settling;
     if (!may_drop)
         return; // Runs to its end, for a retry to find and to be billed.
     if (open->claimed)
@@ -314,9 +312,9 @@
         const bool on_grant = !open.holder.empty() && !open.unbilled;
         if (!on_grant || context_.members.is_live(open.holder))
             continue;
-        context_.send(context_.owner_of(open.customer),
-                      running_notice{open.customer, open.holder,
-                                     record_of(open)});
+        context_.send(
+            context_.owner_of(open.customer),
+            running_notice{open.customer, open.holder, record_of(open)});
     }
 }
 
@@ -330,9 +328,8 @@
         auto& entry = found[open.customer];
         entry.customer = open.customer;
         entry.by_holder = false;
-        entry.records.push_back(open.step == request_step::settling
-                                    ? open.ended
-                                    : record_of(open));
+        entry.records.push_back(
+            open.step == request_step::settling ? open.ended : record_of(open));
     }
     std::vector<customer_records> records;
     for (auto& [customer, entry] : found)
--- a/packages/core/dispatcher_base.hpp
+++ b/packages/core/dispatcher_base.hpp
@@ -10,8 +10,7 @@
 #include <optional>
 #include <unordered_map>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /**
  * Takes callers' requests through reservation, claim, queue, attempts and
@@ -88,7 +87,7 @@
         bool unbilled = false; ///< A rerun of a billed request.
         bool key_given = false;
         std::size_t joined = 0;
-        key_record ended;      ///< Valid while settling.
+        key_record ended; ///< Valid while settling.
     };
     struct finished_request
     {
--- a/packages/core/event_type.hpp
+++ b/packages/core/event_type.hpp
@@ -4,22 +4,21 @@
 #include "core/peer_message_type.hpp"
 #include "route/server_directory_base.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** A caller's request, read whole and well-formed. */
 struct caller_request
 {
     request_id id; ///< Chosen by the traffic side, never used twice.
     std::string api_key;
-    idempotency_key key; ///< Empty if the caller gave none.
+    idempotency_key key;           ///< Empty if the caller gave none.
     std::uint64_t fingerprint = 0; ///< Hash of method, path and body.
     std::uint64_t prefix_hash = 0; ///< Hash of the prompt's start.
     target_id target;
     server_kind kind = server_kind::engine;
     priority rank = priority::standard;
     bool repeatable = true;
-    bool relayed = false; ///< Came through another VM.
+    bool relayed = false;         ///< Came through another VM.
     token_count prompt_bound = 0; ///< No tokenizer makes more of the prompt.
     token_count max_output = 0;   ///< 0 takes the default.
 
@@ -144,9 +143,9 @@
 /** Anything that a decision core is told. */
 using core_event =
     std::variant<caller_request, caller_gone, key_wanted, answer_dropped,
-                 attempt_first_token,
-                 attempt_finished, attempt_failed, peer_received,
-                 peer_connected, peer_disconnected, platform_answered,
-                 server_reported, drain_server, drain_self, clock_tick>;
+                 attempt_first_token, attempt_finished, attempt_failed,
+                 peer_received, peer_connected, peer_disconnected,
+                 platform_answered, server_reported, drain_server, drain_self,
+                 clock_tick>;
 
 } // namespace rosemarydeck
--- a/packages/core/owner_base.cpp
+++ b/packages/core/owner_base.cpp
@@ -6,11 +6,9 @@
 #include <algorithm>
 #include <cmath>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr std::int64_t brief_retry_ms = 500;
 constexpr std::int64_t exhausted_retry_ms = 5000;
@@ -66,8 +64,7 @@
     else if (record.runner == from && record.id == request.id) {
         if (entry.answered)
             reply(from, request, reserve_outcome::reserved);
-    }
-    else if (runner_lives)
+    } else if (runner_lives)
         reply(from, request, reserve_outcome::running, record.runner);
     else if (entry.holder == context_.self())
         take_over(state, entry, from, request);
@@ -125,9 +122,8 @@
     if (!state.pool.reserve(request.amount))
         return false;
     owned_key entry;
-    entry.record = {request.key, request.fingerprint, from,
-                    request.id,  request.amount,      key_state::running,
-                    {},          false};
+    entry.record = {request.key,    request.fingerprint, from, request.id,
+                    request.amount, key_state::running,  {},   false};
     entry.holder = context_.self();
     state.keys[request.key] = std::move(entry);
     ++state.running;
@@ -196,8 +192,8 @@
 {
     auto& state = customer_of(request.customer);
     const auto found = state.keys.find(request.record.key);
-    const bool is_own = found != state.keys.end() &&
-                        found->second.holder == context_.self();
+    const bool is_own =
+        found != state.keys.end() && found->second.holder == context_.self();
     if (is_own && found->second.record.state == key_state::running) {
         const bool current = found->second.record.runner == from &&
                              found->second.record.id == request.record.id;
@@ -210,8 +206,7 @@
         }
     }
     const bool on_other_grant =
-        !is_own && request.holder != context_.self() &&
-        !request.holder.empty();
+        !is_own && request.holder != context_.self() && !request.holder.empty();
     if (on_other_grant)
         return settle_orphan(from, state, request);
     if (is_own && found->second.witness == witness_state::waiting &&
@@ -264,10 +259,9 @@
 {
     auto record = request.record;
     const auto found = state.keys.find(record.key);
-    const bool billed_here =
-        found != state.keys.end() &&
-        found->second.holder == context_.self() &&
-        found->second.record.state == key_state::finished;
+    const bool billed_here = found != state.keys.end() &&
+                             found->second.holder == context_.self() &&
+                             found->second.record.state == key_state::finished;
     if (billed_here)
         record.state = key_state::released;
     if (found == state.keys.end() || found->second.holder != context_.self()) {
@@ -279,8 +273,7 @@
         state.keys[record.key] = std::move(entry);
     }
     orphans_[request.customer][record.key] = request.holder;
-    context_.send(from,
-                  settle_reply{request.customer, record.key, record.id});
+    context_.send(from, settle_reply{request.customer, record.key, record.id});
     if (context_.members.is_live(request.holder))
         context_.send(request.holder,
                       settle_request{request.holder, request.customer, record});
--- a/packages/core/owner_base.hpp
+++ b/packages/core/owner_base.hpp
@@ -11,8 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 class bill_writer;
 
@@ -111,13 +110,13 @@
         token_count used_total = 0;
         token_count settled_credit = 0; ///< Of adopted keys, booked before.
         std::int64_t running = 0;
-        double demand = 0;              ///< Tokens a second, smoothed.
+        double demand = 0; ///< Tokens a second, smoothed.
         time_point demand_at;
-        double rate_tokens = 0;         ///< Of the request rate's bucket.
+        double rate_tokens = 0; ///< Of the request rate's bucket.
         time_point rate_at;
         renewal_step step = renewal_step::idle;
-        token_count got = 0;            ///< Of the write in flight.
-        token_count solo = 0;           ///< Of the write in flight.
+        token_count got = 0;                  ///< Of the write in flight.
+        token_count solo = 0;                 ///< Of the write in flight.
         std::optional<account> account_value; ///< As last seen.
         object_version account_version = 0;
         unsigned failures = 0;
--- a/packages/core/owner_renew.cpp
+++ b/packages/core/owner_renew.cpp
@@ -6,11 +6,9 @@
 #include <algorithm>
 #include <set>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr duration exhausted_memory = std::chrono::seconds(1);
 constexpr duration recall_pause = std::chrono::seconds(1);
@@ -103,8 +101,7 @@
     const auto need = waiting_tokens(state);
     const auto cover = static_cast<token_count>(
         state.demand * seconds(context_.options.grant_cover));
-    const auto target =
-        need + std::max(cover, context_.options.grant_minimum);
+    const auto target = need + std::max(cover, context_.options.grant_minimum);
     if (available > 2 * target)
         return target - available;
     // The less is left, the smaller the step, so that the last tokens are
@@ -146,8 +143,8 @@
 
 void owner::write_renewal(const customer_id& customer, owned_customer& state)
 {
-    const auto next = renew_grant(*state.account_value,
-                                  wish_of(customer, state));
+    const auto next =
+        renew_grant(*state.account_value, wish_of(customer, state));
     if (!next) {
         // The cached account is older than this VM's own grant.
         state.account_value.reset();
@@ -165,9 +162,9 @@
         context_.platform.call(renewal_purpose{customer},
                                create_object{name, text});
     else
-        context_.platform.call(renewal_purpose{customer},
-                               update_object{name, state.account_version,
-                                             text});
+        context_.platform.call(
+            renewal_purpose{customer},
+            update_object{name, state.account_version, text});
 }
 
 void owner::on_renewal_answer(const customer_id& customer,
@@ -200,8 +197,7 @@
         account fresh;
         fresh.customer = customer;
         state.account_value = fresh;
-    }
-    else {
+    } else {
         const auto& object = result->objects.front();
         const auto value = parse_account(object.value);
         if (!value) {
@@ -244,8 +240,8 @@
     const auto settled = state.pool.pending().used;
     state.pool.confirm_renewal(got, solo);
     state.failures = 0;
-    const auto kind = got < 0 ? timeline_kind::grant_returned
-                              : timeline_kind::grant_drawn;
+    const auto kind =
+        got < 0 ? timeline_kind::grant_returned : timeline_kind::grant_drawn;
     context_.record(kind, customer, {},
                     "settled " + std::to_string(settled) + ", extra " +
                         std::to_string(got) + ", held " +
@@ -306,8 +302,7 @@
     }
     // Half of the spare at least, so that a needy data centre need not ask
     // for each request anew.
-    state.give_back =
-        std::min(spare, std::max(request.wanted, spare / 2));
+    state.give_back = std::min(spare, std::max(request.wanted, spare / 2));
     state.recall_from = from;
     context_.record(timeline_kind::grant_recalled, request.customer, {},
                     "by " + from.value());
@@ -344,12 +339,11 @@
 
 bool owner::drained() const
 {
-    return std::all_of(customers_.begin(), customers_.end(),
-                       [](const auto& item) {
-                           const auto& pool = item.second.pool;
-                           return pool.granted() == 0 && pool.used() == 0 &&
-                                  !pool.renewing();
-                       });
+    return std::all_of(
+        customers_.begin(), customers_.end(), [](const auto& item) {
+            const auto& pool = item.second.pool;
+            return pool.granted() == 0 && pool.used() == 0 && !pool.renewing();
+        });
 }
 
 } // namespace rosemarydeck
--- a/packages/core/owner_witness.cpp
+++ b/packages/core/owner_witness.cpp
@@ -3,8 +3,7 @@
 
 #include "core/bill_writer_base.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 void owner::replicate(const customer_id& customer, owned_customer& state,
                       const std::vector<idempotency_key>& keys)
@@ -139,8 +138,7 @@
         replicate(found.customer, state, adopted);
     want_renewal(found.customer, state, duration{});
     context_.record(timeline_kind::grant_adopted, found.customer, {},
-                    "from " + lost.value() + ", open " +
-                        std::to_string(open));
+                    "from " + lost.value() + ", open " + std::to_string(open));
 }
 
 } // namespace rosemarydeck
--- a/packages/core/peer_message_func.cpp
+++ b/packages/core/peer_message_func.cpp
@@ -3,11 +3,9 @@
 
 #include <optional>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 tl::unexpected<error> bad(const std::string& text)
 {
@@ -25,8 +23,7 @@
         if (name == message::name)
             return body.get<message>();
         return decode_body<Index + 1>(name, body);
-    }
-    else
+    } else
         return std::nullopt;
 }
 
@@ -58,8 +55,7 @@
         if (!message)
             return bad("unknown kind '" + name + "'");
         return *message;
-    }
-    catch (const nlohmann::json::exception& fault) {
+    } catch (const nlohmann::json::exception& fault) {
         return bad(fault.what());
     }
 }
--- a/packages/core/peer_message_type.hpp
+++ b/packages/core/peer_message_type.hpp
@@ -11,8 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Version of the messages; peers of another version are turned away. */
 inline constexpr std::uint32_t peer_protocol_version = 1;
@@ -163,7 +162,7 @@
 {
     customer_id customer;
     token_count used_total = 0; ///< All that the holder has spent on it.
-    bool by_holder = true; ///< Told by the holder itself, not by a runner.
+    bool by_holder = true;      ///< Told by the holder itself, not by a runner.
     std::vector<key_record> records;
 
     bool operator==(const customer_records&) const = default;
--- a/packages/core/platform_caller_base.hpp
+++ b/packages/core/platform_caller_base.hpp
@@ -10,8 +10,7 @@
 #include <optional>
 #include <variant>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** A renewal of a customer's grant. */
 struct renewal_purpose
--- a/packages/core/witness_base.cpp
+++ b/packages/core/witness_base.cpp
@@ -3,8 +3,7 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 witness::witness(core_context& context) : context_(context) {}
 
--- a/packages/core/witness_base.hpp
+++ b/packages/core/witness_base.hpp
@@ -6,8 +6,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /**
  * Keeps what owners of this data centre tell about their reservations. Once
--- /dev/null
+++ b/packages/daemon/daemon_operator.cpp
@@ -0,0 +1,117 @@
+/** @file daemon_operator.cpp The daemon's answers to operators, and logs. */
+#include "daemon/daemon_base.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/fiber/all.hpp>
+#include <log4cplus/configurator.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace rosemarydeck {
+
+template <class Value>
+Value daemon::ask(std::function<Value()> query)
+{
+    // The answer outlives this frame if the fiber is ended early.
+    const auto slot = std::make_shared<fiber_slot<Value>>();
+    boost::asio::post(context_,
+                      [query = std::move(query), slot] { slot->put(query()); });
+    return slot->take();
+}
+
+control_port daemon::make_control_port()
+{
+    control_port port;
+    port.tell = [this](core_event event) { tell(std::move(event)); };
+    port.status = [this] {
+        return ask<std::string>([this] { return status_text(); });
+    };
+    port.metrics = [this] {
+        return ask<std::string>([this] { return metrics_text(); });
+    };
+    port.timeline = [this](const timeline_filter& filter) {
+        return ask<std::string>(
+            [this, filter] { return timeline_text(filter); });
+    };
+    port.platform = [this](const platform_request& request) {
+        return operator_call(request);
+    };
+    port.ready = [this] { return ready_.load(); };
+    port.stopping = [this] { return draining_.load(); };
+    return port;
+}
+
+std::string daemon::status_text()
+{
+    return nlohmann::json(core_->status()).dump();
+}
+
+std::string daemon::timeline_text(const timeline_filter& filter)
+{
+    return nlohmann::json(timeline_.select(filter)).dump();
+}
+
+std::string daemon::metrics_text()
+{
+    const auto status = core_->status();
+    auto text = metrics_.expose();
+    const auto add = [&](const std::string& name, std::size_t value) {
+        text += "rosemarydeck_" + name + " " + std::to_string(value) + "\n";
+    };
+    add("open_requests", status.open_requests);
+    add("unflushed_bills", status.unflushed_bills);
+    add("customers", status.customers);
+    add("witness_records", status.witness_records);
+    add("config_revision", status.revision);
+    add("live_peers", status.live.size());
+    return text;
+}
+
+platform_result daemon::operator_call(const platform_request& request)
+{
+    const auto slot = std::make_shared<fiber_slot<platform_result>>();
+    boost::asio::post(context_, [this, request, slot] {
+        metrics_.count("rosemarydeck_platform_calls{kind=\"" +
+                       kind_of(request) + "\"}");
+        boost::fibers::fiber(boost::fibers::launch::post, [this, request,
+                                                           slot] {
+            slot->put(call_on(platform_, request));
+        }).detach();
+    });
+    return slot->take();
+}
+
+void start_logging(const std::string& level)
+{
+    static log4cplus::Initializer initializer;
+    log4cplus::SharedAppenderPtr appender(
+        new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+        "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p [%c] %m%n"));
+    auto root = log4cplus::Logger::getRoot();
+    root.addAppender(appender);
+    auto& levels = log4cplus::getLogLevelManager();
+    auto upper = level;
+    for (auto& letter : upper)
+        letter = static_cast<char>(std::toupper(letter));
+    const auto known = levels.fromString(upper);
+    root.setLogLevel(known == log4cplus::NOT_SET_LOG_LEVEL
+                         ? log4cplus::INFO_LOG_LEVEL
+                         : known);
+}
+
+void log_info(const char* part, const std::string& text)
+{
+    auto logger = log4cplus::Logger::getInstance(part);
+    LOG4CPLUS_INFO(logger, text);
+}
+
+void log_warning(const char* part, const std::string& text)
+{
+    auto logger = log4cplus::Logger::getInstance(part);
+    LOG4CPLUS_WARN(logger, text);
+}
+
+} // namespace rosemarydeck
--- a/packages/member/member_type.hpp
+++ b/packages/member/member_type.hpp
@@ -4,8 +4,7 @@
 #include "common/id_type.hpp"
 #include "common/time_type.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** One run of a daemon: who it is and where it is reached. */
 struct member_info
--- a/packages/member/membership_base.cpp
+++ b/packages/member/membership_base.cpp
@@ -5,8 +5,7 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 membership::membership(membership_options options)
     : options_(std::move(options))
@@ -132,8 +131,8 @@
     return found;
 }
 
-std::vector<instance_id>
-membership::ranking(std::string_view key, const dc_id& data_centre) const
+std::vector<instance_id> membership::ranking(std::string_view key,
+                                             const dc_id& data_centre) const
 {
     const auto& live = live_in(data_centre);
     std::vector<std::string> names;
--- a/packages/member/membership_base.hpp
+++ b/packages/member/membership_base.hpp
@@ -7,8 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Settings of the failure detector. */
 struct membership_options
--- /dev/null
+++ b/packages/peer/peer_link_base.cpp
@@ -0,0 +1,198 @@
+/** @file peer_link_base.cpp Authenticated connections to the other VMs. */
+#include "peer/peer_link_base.hpp"
+
+#include "peer/peer_auth_func.hpp"
+
+namespace rosemarydeck {
+
+namespace {
+
+std::string proof_text(const std::string& first, const std::string& second,
+                       const member_info& who)
+{
+    return first + "|" + second + "|" + nlohmann::json(who).dump();
+}
+
+tl::unexpected<error> unsent(const instance_id& to, const std::string& what)
+{
+    return tl::unexpected(
+        error{error_code::unavailable, "send to peer", to.value(), what});
+}
+
+} // namespace
+
+peer_link::peer_link(boost::asio::io_context& context,
+                     peer_link_options options, peer_link_handlers handlers)
+    : context_(context), options_(std::move(options)),
+      handlers_(std::move(handlers)),
+      sockets_(
+          context,
+          {.max_message_bytes = options_.max_message_bytes,
+           .reconnect_ms = options_.reconnect_ms,
+           .max_reconnect_ms = options_.max_reconnect_ms,
+           .handshake_ms = options_.handshake_ms},
+          {.opened = [this](auto number,
+                            bool outgoing) { on_opened(number, outgoing); },
+           .closed = [this](auto number) { on_closed(number); },
+           .received =
+               [this](auto number, bool binary, const auto& payload) {
+                   on_received(number, binary, payload);
+               }})
+{
+}
+
+expected<std::uint16_t> peer_link::listen()
+{
+    std::string fault;
+    const auto port =
+        sockets_.listen(options_.self.address, options_.self.peer_port, fault);
+    if (port == 0)
+        return tl::unexpected(error{error_code::unavailable, "listen for peers",
+                                    options_.self.address + ":" +
+                                        std::to_string(options_.self.peer_port),
+                                    fault});
+    options_.self.peer_port = port;
+    return port;
+}
+
+void peer_link::dial(const std::string& address, std::uint16_t port)
+{
+    sockets_.dial(address, port);
+}
+
+expected<void> peer_link::send(const instance_id& to, const std::string& bytes)
+{
+    const auto found = peers_.find(to);
+    if (found == peers_.end())
+        return unsent(to, "not connected");
+    if (sockets_.queued(found->second) + bytes.size() >
+        options_.max_queue_bytes) {
+        // Dropping single messages would break their order.
+        sockets_.close(found->second);
+        return unsent(to, "queue is full, connection closed");
+    }
+    if (!sockets_.send(found->second, true, bytes))
+        return unsent(to, "connection is closing");
+    return {};
+}
+
+void peer_link::stop()
+{
+    sockets_.stop();
+}
+
+void peer_link::on_opened(socket_number number, bool outgoing)
+{
+    auto& state = connections_[number];
+    state.outgoing = outgoing;
+    state.own_nonce = make_nonce();
+    sockets_.send(number, false,
+                  nlohmann::json{{"nonce", state.own_nonce}}.dump());
+    limit_handshake(number);
+}
+
+void peer_link::limit_handshake(socket_number number)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        context_, std::chrono::milliseconds(options_.handshake_ms));
+    timer->async_wait([this, number, timer](const auto& fault) {
+        const auto found = connections_.find(number);
+        if (!fault && found != connections_.end() && !found->second.ready)
+            sockets_.close(number);
+    });
+}
+
+void peer_link::on_received(socket_number number, bool binary,
+                            const std::string& payload)
+{
+    const auto found = connections_.find(number);
+    if (found == connections_.end())
+        return;
+    auto& state = found->second;
+    if (state.ready && binary)
+        handlers_.received(state.peer.instance, payload);
+    else if (!state.ready && !binary)
+        on_handshake(number, state, payload);
+    else
+        sockets_.close(number);
+}
+
+void peer_link::on_handshake(socket_number number, connection& state,
+                             const std::string& payload)
+{
+    const auto json = nlohmann::json::parse(payload, nullptr, false);
+    try {
+        if (state.other_nonce.empty()) {
+            state.other_nonce = json.at("nonce").get<std::string>();
+            const auto proof = make_proof(
+                options_.cluster_key,
+                proof_text(state.own_nonce, state.other_nonce, options_.self));
+            sockets_.send(
+                number, false,
+                nlohmann::json{{"who", options_.self}, {"proof", proof}}
+                    .dump());
+            return;
+        }
+        const auto who = json.at("who").get<member_info>();
+        const auto wanted =
+            make_proof(options_.cluster_key,
+                       proof_text(state.other_nonce, state.own_nonce, who));
+        if (same_proof(wanted, json.at("proof").get<std::string>()))
+            admit(number, state, who);
+        else
+            reject(number, who.instance.value(), "wrong proof");
+    } catch (const nlohmann::json::exception& fault) {
+        reject(number, "", fault.what());
+    }
+}
+
+void peer_link::reject(socket_number number, const std::string& who,
+                       const std::string& why)
+{
+    handlers_.failed({error_code::denied, "peer handshake", who, why});
+    sockets_.close(number);
+}
+
+void peer_link::admit(socket_number number, connection& state,
+                      const member_info& who)
+{
+    if (who.instance == options_.self.instance) {
+        sockets_.close(number); // This VM's own address is in its list.
+        return;
+    }
+    state.peer = who;
+    state.ready = true;
+    // Two VMs that dial each other have two connections; the second stays
+    // open as a spare, so that its dialler doesn't dial again.
+    if (peers_.try_emplace(who.instance, number).second)
+        handlers_.connected(who);
+}
+
+void peer_link::on_closed(socket_number number)
+{
+    const auto found = connections_.find(number);
+    if (found == connections_.end())
+        return;
+    const auto state = std::move(found->second);
+    connections_.erase(found);
+    const auto peer = peers_.find(state.peer.instance);
+    if (!state.ready || peer == peers_.end() || peer->second != number)
+        return;
+    peers_.erase(peer);
+    handlers_.disconnected(state.peer.instance);
+    take_spare(state.peer.instance);
+}
+
+void peer_link::take_spare(const instance_id& instance)
+{
+    // Messages may have been lost, so a spare counts as a new connection.
+    for (const auto& [number, state] : connections_) {
+        if (!state.ready || state.peer.instance != instance)
+            continue;
+        peers_[instance] = number;
+        handlers_.connected(state.peer);
+        return;
+    }
+}
+
+} // namespace rosemarydeck
--- a/packages/platform/object_store_base.cpp
+++ b/packages/platform/object_store_base.cpp
@@ -3,11 +3,9 @@
 
 #include "common/overload_func.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 tl::unexpected<error> fail(error_code code, const std::string& name,
                            const std::string& text)
@@ -24,14 +22,13 @@
 
 std::string kind_of(const platform_request& request)
 {
-    return std::visit(
-        overload{[](const get_object&) { return "get"; },
-                 [](const list_objects&) { return "list"; },
-                 [](const create_object&) { return "create"; },
-                 [](const update_object&) { return "update"; },
-                 [](const delete_object&) { return "delete"; },
-                 [](const watch_objects&) { return "watch"; }},
-        request);
+    return std::visit(overload{[](const get_object&) { return "get"; },
+                               [](const list_objects&) { return "list"; },
+                               [](const create_object&) { return "create"; },
+                               [](const update_object&) { return "update"; },
+                               [](const delete_object&) { return "delete"; },
+                               [](const watch_objects&) { return "watch"; }},
+                      request);
 }
 
 platform_result object_store::apply(const platform_request& request)
--- a/packages/platform/object_store_base.hpp
+++ b/packages/platform/object_store_base.hpp
@@ -5,8 +5,7 @@
 
 #include <map>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /**
  * Versioned objects in memory. Serves as the embedded platform of a trial
--- a/packages/platform/platform_codec_func.cpp
+++ b/packages/platform/platform_codec_func.cpp
@@ -6,11 +6,9 @@
 #include <array>
 #include <charconv>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr unsigned status_ok = 200;
 
@@ -94,38 +92,38 @@
         return objects_path + name + "?version=" + std::to_string(version);
     };
     return std::visit(
-        overload{
-            [](const get_object& call) {
-                return platform_http_request{"GET", objects_path + call.name,
-                                             ""};
-            },
-            [](const list_objects& call) {
-                return platform_http_request{"GET", list_path + call.prefix,
-                                             ""};
-            },
-            [](const create_object& call) {
-                return platform_http_request{"POST", objects_path + call.name,
-                                             call.value};
-            },
-            [&](const update_object& call) {
-                return platform_http_request{
-                    "PUT", versioned(call.name, call.expected), call.value};
-            },
-            [&](const delete_object& call) {
-                return platform_http_request{
-                    "DELETE", versioned(call.name, call.expected), ""};
-            },
-            [](const watch_objects& call) {
-                const auto wait =
-                    std::chrono::duration_cast<std::chrono::milliseconds>(
-                        call.wait);
-                return platform_http_request{
-                    "GET",
-                    watch_path + call.prefix +
-                        "&since=" + std::to_string(call.since) +
-                        "&wait_ms=" + std::to_string(wait.count()),
-                    ""};
-            }},
+        overload{[](const get_object& call) {
+                     return platform_http_request{"GET",
+                                                  objects_path + call.name, ""};
+                 },
+                 [](const list_objects& call) {
+                     return platform_http_request{"GET",
+                                                  list_path + call.prefix, ""};
+                 },
+                 [](const create_object& call) {
+                     return platform_http_request{
+                         "POST", objects_path + call.name, call.value};
+                 },
+                 [&](const update_object& call) {
+                     return platform_http_request{
+                         "PUT", versioned(call.name, call.expected),
+                         call.value};
+                 },
+                 [&](const delete_object& call) {
+                     return platform_http_request{
+                         "DELETE", versioned(call.name, call.expected), ""};
+                 },
+                 [](const watch_objects& call) {
+                     const auto wait =
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             call.wait);
+                     return platform_http_request{
+                         "GET",
+                         watch_path + call.prefix +
+                             "&since=" + std::to_string(call.since) +
+                             "&wait_ms=" + std::to_string(wait.count()),
+                         ""};
+                 }},
         request);
 }
 
@@ -165,8 +163,7 @@
     if (status == status_ok && !json.is_discarded()) {
         try {
             return json.get<platform_reply>();
-        }
-        catch (const nlohmann::json::exception& wrong) {
+        } catch (const nlohmann::json::exception& wrong) {
             fault.text = wrong.what();
         }
     }
--- a/packages/platform/platform_codec_func.hpp
+++ b/packages/platform/platform_codec_func.hpp
@@ -3,8 +3,7 @@
 
 #include "platform/platform_type.hpp"
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** A platform call as an HTTP request. */
 struct platform_http_request
--- a/packages/platform/platform_type.hpp
+++ b/packages/platform/platform_type.hpp
@@ -10,8 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /**
  * Version of an object: the service's revision at its last write. It grows
--- a/packages/request/bill_type.hpp
+++ b/packages/request/bill_type.hpp
@@ -6,8 +6,7 @@
 
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Tokens that a backend server reports for one answer. */
 struct token_usage
--- a/packages/request/charge_func.cpp
+++ b/packages/request/charge_func.cpp
@@ -3,11 +3,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr std::int64_t all_percent = 100;
 
@@ -21,8 +19,7 @@
 
 bill price(bill draft, token_count reserved, const service_target& target)
 {
-    draft.charged =
-        std::clamp<token_count>(draft.usage.total(), 0, reserved);
+    draft.charged = std::clamp<token_count>(draft.usage.total(), 0, reserved);
     draft.refunded = 0;
     if (is_late(draft.timing, target))
         draft.refunded = draft.charged * target.refund_percent / all_percent;
--- a/packages/route/server_directory_base.cpp
+++ b/packages/route/server_directory_base.cpp
@@ -5,12 +5,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-server_directory::server_directory(route_options options) : options_(options)
-{
-}
+server_directory::server_directory(route_options options) : options_(options) {}
 
 void server_directory::assign(const std::map<server_id, server_entry>& entries)
 {
@@ -164,14 +161,12 @@
                        now - server.reported <= options_.report_age;
     if (!fresh) {
         // Blind: keep to this VM's share of the slots.
-        const auto share = (slots + options_.sharing_vms - 1) /
-                           options_.sharing_vms;
+        const auto share =
+            (slots + options_.sharing_vms - 1) / options_.sharing_vms;
         return share - server.outstanding;
     }
-    const auto others =
-        std::max<std::int64_t>(server.load.running + server.load.waiting -
-                                   server.mine_at_report,
-                               0);
+    const auto others = std::max<std::int64_t>(
+        server.load.running + server.load.waiting - server.mine_at_report, 0);
     return slots - others - server.outstanding;
 }
 
--- a/packages/route/server_directory_base.hpp
+++ b/packages/route/server_directory_base.hpp
@@ -9,8 +9,7 @@
 #include <optional>
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** What a backend server reports of itself; it is old when it arrives. */
 struct load_report
@@ -29,7 +28,7 @@
 struct route_wish
 {
     target_id target;
-    dc_id data_centre;            ///< Preferred.
+    dc_id data_centre;             ///< Preferred.
     std::uint64_t prefix_hash = 0; ///< Equal for prompts with equal starts.
     std::vector<server_id> excluded;
 
@@ -39,8 +38,8 @@
 /** Settings of the choice. */
 struct route_options
 {
-    duration report_age{};      ///< Older reports are not used.
-    duration failure_pause{};   ///< No work after a failure, at first.
+    duration report_age{};    ///< Older reports are not used.
+    duration failure_pause{}; ///< No work after a failure, at first.
     duration max_failure_pause{};
     std::int64_t sharing_vms = 1; ///< VMs that use the same servers.
 };
--- a/packages/schedule/fair_queue_base.cpp
+++ b/packages/schedule/fair_queue_base.cpp
@@ -3,11 +3,9 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 /** Tokens after which the shares of the priorities are forgotten by half. */
 constexpr double share_memory_tokens = 200'000;
@@ -79,9 +77,9 @@
     const auto where = found->second;
     auto& lane = lane_of(where.rank);
     auto& flow = lane.flows.at(where.customer);
-    const auto at = std::find_if(
-        flow.waiting.begin(), flow.waiting.end(),
-        [&](const auto& request) { return request.id == id; });
+    const auto at =
+        std::find_if(flow.waiting.begin(), flow.waiting.end(),
+                     [&](const auto& request) { return request.id == id; });
     lane.waiting -= at->cost;
     flow.waiting.erase(at);
     if (flow.waiting.empty())
--- a/packages/schedule/fair_queue_base.hpp
+++ b/packages/schedule/fair_queue_base.hpp
@@ -14,8 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** A request that waits for a backend server. */
 struct waiting_request
@@ -23,8 +22,8 @@
     request_id id;
     customer_id customer;
     priority rank = priority::standard;
-    std::int64_t weight = 1;  ///< Of the customer, above zero.
-    token_count cost = 0;     ///< Tokens it is expected to take.
+    std::int64_t weight = 1; ///< Of the customer, above zero.
+    token_count cost = 0;    ///< Tokens it is expected to take.
     time_point arrived;
 
     bool operator==(const waiting_request&) const = default;
@@ -72,9 +71,9 @@
     {
         std::unordered_map<customer_id, customer_flow> flows;
         std::set<std::pair<double, customer_id>> order; ///< Flows that wait.
-        double level = 0;      ///< Served count of the flow last taken.
+        double level = 0; ///< Served count of the flow last taken.
         token_count waiting = 0;
-        double taken = 0;      ///< Tokens served, fading.
+        double taken = 0; ///< Tokens served, fading.
     };
     struct queue_place
     {
--- a/packages/settings/settings_base.cpp
+++ b/packages/settings/settings_base.cpp
@@ -10,11 +10,9 @@
 #include <fstream>
 #include <sstream>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 constexpr std::size_t secret_length = 16;
 
@@ -45,9 +43,8 @@
             section = trimmed(line.substr(1, line.find(']') - 1));
             if (name.key.empty() && section == name.section)
                 return number;
-        }
-        else if (section == name.section &&
-                 trimmed(line.substr(0, line.find('='))) == name.key)
+        } else if (section == name.section &&
+                   trimmed(line.substr(0, line.find('='))) == name.key)
             return number;
     }
     return 0;
@@ -99,8 +96,8 @@
     }
     const auto check_secret = [&](const std::string& secret, const char* name) {
         if (!secret.empty() && secret.size() < secret_length)
-            faults.push_back({0, std::string(name) +
-                                     " is shorter than 16 characters"});
+            faults.push_back(
+                {0, std::string(name) + " is shorter than 16 characters"});
     };
     check_secret(values.cluster_key, "[peers] cluster_key");
     check_secret(values.operator_key, "[operators] key");
@@ -124,8 +121,7 @@
     std::istringstream stream(text);
     try {
         boost::property_tree::read_ini(stream, tree);
-    }
-    catch (const boost::property_tree::ini_parser_error& fault) {
+    } catch (const boost::property_tree::ini_parser_error& fault) {
         return tl::unexpected(std::vector<setting_fault>{
             {fault.line(), "not INI: " + fault.message()}});
     }
--- a/packages/settings/settings_table.hpp
+++ b/packages/settings/settings_table.hpp
@@ -7,8 +7,7 @@
 #include <string_view>
 #include <variant>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Where a setting is kept. */
 using setting_member =
--- a/packages/timeline/metrics_base.cpp
+++ b/packages/timeline/metrics_base.cpp
@@ -4,11 +4,9 @@
 #include <array>
 #include <sstream>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
-namespace
-{
+namespace {
 
 namespace acc = boost::accumulators;
 
--- a/packages/timeline/metrics_base.hpp
+++ b/packages/timeline/metrics_base.hpp
@@ -12,8 +12,7 @@
 #include <map>
 #include <string>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Named counters and summaries; used from the control thread only. */
 class metrics_registry
@@ -29,10 +28,10 @@
 
 private:
     using summary = boost::accumulators::accumulator_set<
-        double, boost::accumulators::stats<
-                    boost::accumulators::tag::count,
-                    boost::accumulators::tag::mean,
-                    boost::accumulators::tag::extended_p_square_quantile>>;
+        double,
+        boost::accumulators::stats<
+            boost::accumulators::tag::count, boost::accumulators::tag::mean,
+            boost::accumulators::tag::extended_p_square_quantile>>;
 
     std::map<std::string, std::uint64_t> counters_;
     std::map<std::string, summary> summaries_;
--- a/packages/timeline/timeline_base.cpp
+++ b/packages/timeline/timeline_base.cpp
@@ -3,8 +3,7 @@
 
 #include <algorithm>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 hybrid_time hybrid_clock::next(time_point now)
 {
--- a/packages/timeline/timeline_type.hpp
+++ b/packages/timeline/timeline_type.hpp
@@ -6,8 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace rosemarydeck
-{
+namespace rosemarydeck {
 
 /** Kinds of events on the time line. */
 enum class timeline_kind
--- /dev/null
+++ b/packages/web/caller_service_base.cpp
@@ -0,0 +1,237 @@
+/** @file caller_service_base.cpp The threads that carry traffic. */
+#include "web/caller_service_base.hpp"
+
+#include "common/overload_func.hpp"
+#include "web/fiber_scheduler_base.hpp"
+#include "web/reply_func.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/all.hpp>
+
+namespace rosemarydeck {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t kept_answer_bytes = 64 * 1'048'576;
+constexpr std::size_t session_stack_bytes = 128 * 1024;
+constexpr auto poll_every = std::chrono::milliseconds(250);
+constexpr auto poll_timeout = std::chrono::milliseconds(1000);
+
+std::optional<load_report> parse_load(const std::string& text)
+{
+    try {
+        return nlohmann::json::parse(text).get<load_report>();
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+template <class Body>
+void start_fiber(Body body)
+{
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                         boost::fibers::fixedsize_stack(session_stack_bytes),
+                         std::move(body))
+        .detach();
+}
+
+} // namespace
+
+caller_service::caller_service(const settings& values, control_port control)
+    : values_(values), control_(std::move(control)),
+      answers_(kept_answer_bytes), shared_{values_, control_, answers_, busy_}
+{
+}
+
+caller_service::~caller_service()
+{
+    stop();
+}
+
+expected<std::uint16_t> caller_service::start()
+{
+    for (std::int64_t count = 0; count < values_.traffic_threads; ++count)
+        threads_.push_back(std::make_unique<traffic_thread>());
+    auto& first = threads_.front()->context;
+    boost::system::error_code fault;
+    const auto address = boost::asio::ip::make_address(values_.address, fault);
+    const tcp::endpoint endpoint(
+        address, static_cast<std::uint16_t>(values_.caller_port));
+    acceptor_ = std::make_unique<tcp::acceptor>(first);
+    if (!fault)
+        acceptor_->open(endpoint.protocol(), fault);
+    if (!fault)
+        acceptor_->set_option(tcp::acceptor::reuse_address(true), fault);
+    if (!fault)
+        acceptor_->bind(endpoint, fault);
+    if (!fault)
+        acceptor_->listen(boost::asio::socket_base::max_listen_connections,
+                          fault);
+    if (fault)
+        return tl::unexpected(
+            error{error_code::unavailable, "listen for callers",
+                  values_.address + ":" + std::to_string(values_.caller_port),
+                  fault.message()});
+    const auto port = acceptor_->local_endpoint().port();
+    accept_next();
+    for (auto& each : threads_)
+        each->thread = std::thread([this, &each] { run_thread(*each); });
+    return port;
+}
+
+void caller_service::run_thread(traffic_thread& mine)
+{
+    boost::fibers::use_scheduling_algorithm<fiber_scheduler>(mine.context);
+    attempt_options options;
+    options.silence = std::chrono::milliseconds(values_.attempt_timeout_ms);
+    options.max_answer_bytes =
+        static_cast<std::size_t>(values_.max_answer_bytes);
+    mine.attempts =
+        std::make_unique<attempt_runner>(mine.context, options, control_.tell);
+    if (&mine == threads_.front().get())
+        start_fiber([this, &mine] { poll_loads(mine); });
+    mine.stopped.take();
+}
+
+void caller_service::accept_next()
+{
+    const auto index = next_thread_++ % threads_.size();
+    auto& target = *threads_[index];
+    acceptor_->async_accept(
+        target.context, [this, &target](const auto& fault, tcp::socket socket) {
+            if (fault == boost::asio::error::operation_aborted || stopped_)
+                return;
+            if (!fault)
+                on_accepted(target, std::move(socket));
+            accept_next();
+        });
+}
+
+void caller_service::on_accepted(traffic_thread& target, tcp::socket socket)
+{
+    const auto limit = static_cast<std::size_t>(values_.max_connections);
+    if (connections_ >= limit)
+        return; // Closed at once: no memory for more.
+    ++connections_;
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    boost::asio::post(target.context, [this, &target, shared] {
+        start_fiber([this, &target, shared] {
+            caller_session session(target.context, std::move(*shared), shared_);
+            session.run();
+            --connections_;
+        });
+    });
+}
+
+void caller_service::act(const core_action& action)
+{
+    std::visit(
+        overload{[&](const refuse_request& one) { divert(one.id, one); },
+                 [&](const issue_key& one) { divert(one.id, one); },
+                 [&](const relay_request& one) {
+                     divert(one.id, follow_peer{one.address, one.port});
+                 },
+                 [&](const join_request& one) {
+                     auto original = answers_.find(one.original);
+                     if (original)
+                         divert(one.id, follow_log{std::move(original)});
+                     else
+                         divert(one.id, refuse_request{
+                                            one.id, refusal_reason::key_in_use,
+                                            ran_state::unknown, 500});
+                 },
+                 [&](const dispatch_attempt& one) { start_attempt(one); },
+                 [&](const finish_request& one) { finish(one.id); },
+                 [](const auto&) {}},
+        action);
+}
+
+void caller_service::divert(request_id id, log_step step)
+{
+    const auto log = answers_.find(id);
+    if (!log)
+        return;
+    log->divert(std::move(step));
+    answers_.drop(id);
+}
+
+void caller_service::finish(request_id id)
+{
+    const auto log = answers_.find(id);
+    if (!log)
+        return;
+    log->finish();
+    for (const auto dropped : answers_.keep(id))
+        control_.tell(answer_dropped{dropped});
+}
+
+void caller_service::start_attempt(const dispatch_attempt& order)
+{
+    const auto log = answers_.find(order.id);
+    if (!log)
+        return;
+    auto& target = *threads_[order.id.value() % threads_.size()];
+    boost::asio::post(target.context, [&target, order, log] {
+        start_fiber(
+            [&target, order, log] { target.attempts->run(order, log); });
+    });
+}
+
+void caller_service::poll(std::vector<polled_server> servers)
+{
+    const std::lock_guard<std::mutex> lock(polled_mutex_);
+    polled_ = std::move(servers);
+}
+
+void caller_service::poll_loads(traffic_thread& mine)
+{
+    auto client = std::make_shared<http_client>(mine.context);
+    while (!stopped_) {
+        std::vector<polled_server> servers;
+        {
+            const std::lock_guard<std::mutex> lock(polled_mutex_);
+            servers = polled_;
+        }
+        for (const auto& each : servers)
+            start_fiber([this, each, client] {
+                http_request request;
+                request.method(boost::beast::http::verb::get);
+                request.target("/load");
+                request.version(11);
+                const auto reply =
+                    client->call(each.peer, std::move(request), poll_timeout);
+                if (!reply || reply->result_int() != 200)
+                    return;
+                const auto load = parse_load(reply->body());
+                if (load)
+                    control_.tell(server_reported{each.server, *load});
+            });
+        fiber_sleep(mine.context, poll_every);
+    }
+}
+
+void caller_service::close_port()
+{
+    if (!acceptor_)
+        return;
+    boost::asio::post(threads_.front()->context, [this] {
+        boost::system::error_code ignored;
+        acceptor_->close(ignored);
+    });
+}
+
+void caller_service::stop()
+{
+    if (stopped_.exchange(true))
+        return;
+    for (auto& each : threads_) {
+        each->stopped.put(true);
+        if (each->thread.joinable())
+            each->thread.join();
+    }
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/web/fiber_slot_base.hpp
@@ -0,0 +1,41 @@
+/** @file fiber_slot_base.hpp Hands one value from a thread to a fiber. */
+#pragma once
+
+#include <boost/fiber/condition_variable.hpp>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace rosemarydeck {
+
+/** Filled once by any thread, waited for by one fiber. */
+template <class Value>
+class fiber_slot
+{
+public:
+    /** Fills the slot; a second value is dropped. */
+    void put(Value value)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            if (!value_)
+                value_ = std::move(value);
+        }
+        filled_.notify_all();
+    }
+
+    /** @return The value, once it is there. */
+    Value take()
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        filled_.wait(lock, [this] { return value_.has_value(); });
+        return std::move(*value_);
+    }
+
+private:
+    std::mutex mutex_;
+    boost::fibers::condition_variable_any filled_;
+    std::optional<Value> value_;
+};
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/web/http_client_base.cpp
@@ -0,0 +1,118 @@
+/** @file http_client_base.cpp HTTP calls from a fiber. */
+#include "web/http_client_base.hpp"
+
+#include "web/fiber_scheduler_base.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace rosemarydeck {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+constexpr std::size_t max_idle = 8;
+constexpr std::size_t max_answer_bytes = 64 * 1'048'576;
+
+error unavailable(const std::string& step, const http_peer& peer,
+                  const std::string& text)
+{
+    return {error_code::unavailable, step,
+            peer.address + ":" + std::to_string(peer.port), text};
+}
+
+} // namespace
+
+http_client::http_client(boost::asio::io_context& context) : context_(context)
+{
+}
+
+expected<std::unique_ptr<http_connection>>
+http_client::connect(const http_peer& peer, std::chrono::milliseconds timeout)
+{
+    boost::system::error_code fault;
+    const auto address = boost::asio::ip::make_address(peer.address, fault);
+    if (fault)
+        return tl::unexpected(unavailable("connect", peer, fault.message()));
+    auto connection = std::make_unique<http_connection>(context_);
+    auto& stream = connection->stream;
+    stream.expires_after(timeout);
+    const auto done = await_io([&](auto handler) {
+        stream.async_connect(tcp::endpoint(address, peer.port),
+                             std::move(handler));
+    });
+    if (done.fault)
+        return tl::unexpected(
+            unavailable("connect", peer, done.fault.message()));
+    stream.socket().set_option(tcp::no_delay(true), fault);
+    return connection;
+}
+
+std::unique_ptr<http_connection> http_client::take_idle(const http_peer& peer)
+{
+    auto& idle = idle_[peer];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        // Anything readable on an idle connection means that it was closed.
+        auto& socket = connection->stream.socket();
+        boost::system::error_code fault;
+        socket.non_blocking(true, fault);
+        char byte = 0;
+        socket.receive(boost::asio::buffer(&byte, 1),
+                       boost::asio::socket_base::message_peek, fault);
+        if (fault == boost::asio::error::would_block)
+            return connection;
+    }
+    return nullptr;
+}
+
+void http_client::keep(const http_peer& peer,
+                       std::unique_ptr<http_connection> used)
+{
+    auto& idle = idle_[peer];
+    if (idle.size() < max_idle)
+        idle.push_back(std::move(used));
+}
+
+tl::expected<http_response, http_failure>
+http_client::call(const http_peer& peer, http_request request,
+                  std::chrono::milliseconds timeout)
+{
+    auto connection = take_idle(peer);
+    if (!connection) {
+        auto fresh = connect(peer, timeout);
+        if (!fresh)
+            return tl::unexpected(http_failure{fresh.error(), false});
+        connection = std::move(*fresh);
+    }
+    auto& stream = connection->stream;
+    stream.expires_after(timeout);
+    request.set(http::field::host, peer.address);
+    request.prepare_payload();
+    const auto written = await_io([&](auto handler) {
+        http::async_write(stream, request, std::move(handler));
+    });
+    if (written.fault)
+        return tl::unexpected(http_failure{
+            unavailable("send request", peer, written.fault.message()), true});
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
+    const auto read = await_io([&](auto handler) {
+        http::async_read(stream, connection->buffer, parser,
+                         std::move(handler));
+    });
+    if (read.fault)
+        return tl::unexpected(http_failure{
+            unavailable("read answer", peer, read.fault.message()), true});
+    stream.expires_never();
+    auto response = parser.release();
+    if (response.keep_alive())
+        keep(peer, std::move(connection));
+    return response;
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/tests/standin/standin_server.cpp
@@ -0,0 +1,67 @@
+/** @file standin_server.cpp A small HTTP server, one thread a connection. */
+#include "standin_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cstdio>
+#include <thread>
+
+namespace standin {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+void serve(unsigned short port, const handler& handle)
+{
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context,
+                           {boost::asio::ip::address_v4::loopback(), port});
+    std::printf("ready %u\n", unsigned{acceptor.local_endpoint().port()});
+    std::fflush(stdout);
+    while (true) {
+        socket next(context);
+        boost::system::error_code fault;
+        acceptor.accept(next, fault);
+        if (fault)
+            continue;
+        next.set_option(tcp::no_delay(true), fault);
+        std::thread([&handle, taken = std::move(next)]() mutable {
+            boost::beast::flat_buffer buffer;
+            while (true) {
+                http::request_parser<http::string_body> parser;
+                parser.body_limit(8 * 1'048'576);
+                boost::system::error_code failed;
+                http::read(taken, buffer, parser, failed);
+                if (failed || !handle(parser.get(), taken))
+                    return;
+            }
+        }).detach();
+    }
+}
+
+bool send(socket& to, const std::string& bytes)
+{
+    boost::system::error_code fault;
+    boost::asio::write(to, boost::asio::buffer(bytes), fault);
+    return !fault;
+}
+
+bool reply(socket& to, const http_call& request, unsigned status,
+           const std::string& body, const std::string& type)
+{
+    http::response<http::string_body> response;
+    response.result(status);
+    response.version(11);
+    response.set(http::field::content_type, type);
+    if (request.find("X-Stream-Id") != request.end())
+        response.set("X-Stream-Id", request["X-Stream-Id"]);
+    response.body() = body;
+    response.prepare_payload();
+    boost::system::error_code fault;
+    http::write(to, response, fault);
+    return !fault;
+}
+
+} // namespace standin
--- /dev/null
+++ b/tests/standin/standin_server.hpp
@@ -0,0 +1,37 @@
+/** @file standin_server.hpp A small HTTP server, one thread a connection. */
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <string>
+
+namespace standin {
+
+using http_call = boost::beast::http::request<boost::beast::http::string_body>;
+using socket = boost::asio::ip::tcp::socket;
+
+/** Answers one request. @return False to close the connection. */
+using handler = std::function<bool(const http_call&, socket&)>;
+
+/** Serves for ever on a port of the loopback; prints "ready PORT". */
+[[noreturn]] void serve(unsigned short port, const handler& handle);
+
+/** Sends a whole answer. @return False if the caller has gone. */
+bool reply(socket& to, const http_call& request, unsigned status,
+           const std::string& body,
+           const std::string& type = "application/json");
+
+/** Sends bytes. @return False if the caller has gone. */
+bool send(socket& to, const std::string& bytes);
+
+/** Runs the stand-in of a model engine or a plain service. */
+[[noreturn]] void run_engine(unsigned short port, int first_ms, int pace_ms,
+                             int slots);
+/** Runs the stand-in of the platform's object service. */
+[[noreturn]] void run_platform(unsigned short port,
+                               const std::string& objects_file);
+
+} // namespace standin
