--- a/packages/budget/account_cmd.cpp
+++ b/packages/budget/account_cmd.cpp
@@ -2,10 +2,13 @@
 #include "budget/account_cmd.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t all_percent = 100;
 
@@ -109,7 +112,8 @@
 {
     try {
         return nlohmann::json::parse(text).get<account>();
-    } catch (const nlohmann::json::exception& fault) {
+    }
+    catch (const nlohmann::json::exception& fault) {
         return fail(error_code::invalid_input, "read account", fault.what());
     }
 }
--- a/packages/budget/account_cmd.hpp
+++ b/packages/budget/account_cmd.hpp
@@ -4,7 +4,8 @@
 #include "budget/account_type.hpp"
 #include "common/error_type.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** @return Tokens of an account that no one holds and no one has spent. */
 token_count unassigned(const account& value);
--- a/packages/budget/account_type.hpp
+++ b/packages/budget/account_type.hpp
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "common/id_type.hpp"
+#include "common/json_type.hpp"
 #include "platform/platform_type.hpp"
 
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Tokens that one instance may spend without asking the platform. */
 struct grant_entry
@@ -21,8 +23,7 @@
 
     bool operator==(const grant_entry&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(grant_entry, holder, data_centre, amount,
-                                   solo, used_total, sequence, last_extra)
+ROSEMARYDECK_JSON_DECLARE(grant_entry);
 
 /** Who took over a lost holder's grant. */
 struct adopted_grant
@@ -32,7 +33,7 @@
 
     bool operator==(const adopted_grant&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(adopted_grant, lost, heir)
+ROSEMARYDECK_JSON_DECLARE(adopted_grant);
 
 /** Adoptions that an account remembers, so that a lost answer can be told. */
 inline constexpr std::size_t max_adopted_grants = 16;
@@ -54,8 +55,7 @@
 
     bool operator==(const account&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(account, customer, prepaid, plan_version,
-                                   settled, unproven, grants, adopted)
+ROSEMARYDECK_JSON_DECLARE(account);
 
 inline const std::string accounts_prefix = "accounts/";
 
--- a/packages/budget/budget_pool_base.cpp
+++ b/packages/budget/budget_pool_base.cpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 token_count budget_pool::available() const
 {
--- a/packages/budget/budget_pool_base.hpp
+++ b/packages/budget/budget_pool_base.hpp
@@ -4,7 +4,8 @@
 #include "common/id_type.hpp"
 #include "common/time_type.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A renewal that has been sent and not yet confirmed. */
 struct pending_renewal
--- a/packages/client/client_call_func.cpp
+++ b/packages/client/client_call_func.cpp
@@ -11,9 +11,11 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 namespace http = boost::beast::http;
 
--- a/packages/client/client_call_func.hpp
+++ b/packages/client/client_call_func.hpp
@@ -4,7 +4,8 @@
 #include "client/client_type.hpp"
 #include "platform/platform_type.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Calls one daemon. @return The body; an error for any status but 200. */
 expected<std::string> call_vm(const client_vm& vm, const std::string& key,
--- a/packages/client/client_cmd.cpp
+++ b/packages/client/client_cmd.cpp
@@ -9,10 +9,13 @@
 #include <cstdio>
 #include <ctime>
 #include <map>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t us_per_second = 1'000'000;
 
@@ -48,7 +51,8 @@
         }
         try {
             answers.push_back(nlohmann::json::parse(*body).get<Value>());
-        } catch (const nlohmann::json::exception& fault) {
+        }
+        catch (const nlohmann::json::exception& fault) {
             report({error_code::invalid_input, "read answer", vm.address,
                     fault.what()});
         }
--- a/packages/client/client_cmd.hpp
+++ b/packages/client/client_cmd.hpp
@@ -6,7 +6,8 @@
 #include <span>
 #include <string_view>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Words behind a command's name. */
 using command_words = std::vector<std::string>;
--- a/packages/client/client_list_cmd.cpp
+++ b/packages/client/client_list_cmd.cpp
@@ -11,12 +11,15 @@
 #include <cstdio>
 #include <fstream>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr int max_tries = 5;
 
--- a/packages/client/client_main.cpp
+++ b/packages/client/client_main.cpp
@@ -6,7 +6,8 @@
 #include <popt.h>
 #include <sstream>
 
-namespace {
+namespace
+{
 
 using namespace rosemarydeck;
 
--- a/packages/client/client_table_func.cpp
+++ b/packages/client/client_table_func.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 std::string format_row(const table_row& row,
                        const std::vector<std::size_t>& widths)
--- a/packages/client/client_table_func.hpp
+++ b/packages/client/client_table_func.hpp
@@ -4,7 +4,8 @@
 #include <string>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A row of cells. */
 using table_row = std::vector<std::string>;
--- a/packages/client/client_type.hpp
+++ b/packages/client/client_type.hpp
@@ -6,7 +6,8 @@
 #include <string>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A daemon that the client can call. */
 struct client_vm
--- /dev/null
+++ b/packages/common/common_json_func.cpp
@@ -0,0 +1,13 @@
+/** @file common_json_func.cpp JSON forms of this package's types. */
+#include "common/priority_type.hpp"
+
+#include "common/json_func.hpp"
+
+namespace rosemarydeck
+{
+
+ROSEMARYDECK_JSON_ENUM(priority, {{priority::urgent, "urgent"},
+                                  {priority::standard, "standard"},
+                                  {priority::bulk, "bulk"}})
+
+} // namespace rosemarydeck
--- a/packages/common/error_type.hpp
+++ b/packages/common/error_type.hpp
@@ -4,7 +4,8 @@
 #include <string>
 #include <tl/expected.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** What kind of failure an error reports. */
 enum class error_code
--- a/packages/common/hash_func.cpp
+++ b/packages/common/hash_func.cpp
@@ -4,7 +4,8 @@
 #include <algorithm>
 #include <numeric>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 std::uint64_t mix_bits(std::uint64_t value)
 {
--- a/packages/common/hash_func.hpp
+++ b/packages/common/hash_func.hpp
@@ -6,7 +6,8 @@
 #include <string_view>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** @param value A number. @return The number with its bits well mixed. */
 std::uint64_t mix_bits(std::uint64_t value);
--- a/packages/common/id_type.hpp
+++ b/packages/common/id_type.hpp
@@ -4,11 +4,11 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A string that identifies one kind of thing and nothing else. */
 template <class Tag>
@@ -30,17 +30,17 @@
 };
 
 /** Writes a strong identifier as a JSON string. */
-template <class Tag>
-void to_json(nlohmann::json& json, const strong_string<Tag>& id)
+template <class Json, class Tag>
+void to_json(Json& json, const strong_string<Tag>& id)
 {
     json = id.value();
 }
 
 /** Reads a strong identifier; throws nlohmann::json::type_error. */
-template <class Tag>
-void from_json(const nlohmann::json& json, strong_string<Tag>& id)
+template <class Json, class Tag>
+void from_json(const Json& json, strong_string<Tag>& id)
 {
-    id = strong_string<Tag>(json.get<std::string>());
+    id = strong_string<Tag>(json.template get<std::string>());
 }
 
 /** A number that identifies one kind of thing and nothing else. */
@@ -61,17 +61,17 @@
 };
 
 /** Writes a strong number as a JSON number. */
-template <class Tag>
-void to_json(nlohmann::json& json, const strong_number<Tag>& id)
+template <class Json, class Tag>
+void to_json(Json& json, const strong_number<Tag>& id)
 {
     json = id.value();
 }
 
 /** Reads a strong number; throws nlohmann::json::type_error. */
-template <class Tag>
-void from_json(const nlohmann::json& json, strong_number<Tag>& id)
+template <class Json, class Tag>
+void from_json(const Json& json, strong_number<Tag>& id)
 {
-    id = strong_number<Tag>(json.get<std::uint64_t>());
+    id = strong_number<Tag>(json.template get<std::uint64_t>());
 }
 
 /** Name of a VM, stable over restarts of its process. */
--- a/packages/common/overload_func.hpp
+++ b/packages/common/overload_func.hpp
@@ -1,7 +1,8 @@
 /** @file overload_func.hpp Visitors for variants, built from lambdas. */
 #pragma once
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Joins several callables into one visitor. */
 template <class... Callables>
--- a/packages/common/priority_type.hpp
+++ b/packages/common/priority_type.hpp
@@ -1,14 +1,16 @@
 /** @file priority_type.hpp The three priorities of work. */
 #pragma once
 
+#include "common/json_type.hpp"
+
 #include <array>
 #include <cstddef>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Priority of a request, most urgent first. */
 enum class priority
@@ -37,8 +39,6 @@
     return std::nullopt;
 }
 
-NLOHMANN_JSON_SERIALIZE_ENUM(priority, {{priority::urgent, "urgent"},
-                                        {priority::standard, "standard"},
-                                        {priority::bulk, "bulk"}})
+ROSEMARYDECK_JSON_DECLARE(priority);
 
 } // namespace rosemarydeck
--- a/packages/common/time_type.hpp
+++ b/packages/common/time_type.hpp
@@ -4,7 +4,8 @@
 #include <chrono>
 #include <optional>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Length of time as the decision core counts it, in microseconds. */
 using duration = std::chrono::microseconds;
--- a/packages/config/config_base.cpp
+++ b/packages/config/config_base.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 bool has_prefix(const std::string& name, const std::string& prefix)
 {
@@ -144,7 +146,8 @@
         const customer_id customer(tail(name, plans_prefix));
         forget_keys(customer);
         plans_.erase(customer);
-    } else if (has_prefix(name, allowances_prefix))
+    }
+    else if (has_prefix(name, allowances_prefix))
         allowances_.erase(customer_id(tail(name, allowances_prefix)));
     else if (has_prefix(name, servers_prefix))
         servers_.erase(server_id(tail(name, servers_prefix)));
--- a/packages/config/config_base.hpp
+++ b/packages/config/config_base.hpp
@@ -10,7 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** What became of one object that was offered. */
 struct config_change
--- a/packages/config/config_check_func.cpp
+++ b/packages/config/config_check_func.cpp
@@ -2,10 +2,13 @@
 #include "config/config_check_func.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t max_weight = 1000;
 constexpr token_count max_budget = 1'000'000'000'000'000;
@@ -16,7 +19,8 @@
 {
     try {
         return nlohmann::json::parse(text).get<Value>();
-    } catch (const nlohmann::json::exception& fault) {
+    }
+    catch (const nlohmann::json::exception& fault) {
         return tl::unexpected(
             error{error_code::invalid_input, step, "", fault.what()});
     }
--- a/packages/config/config_check_func.hpp
+++ b/packages/config/config_check_func.hpp
@@ -4,7 +4,8 @@
 #include "common/error_type.hpp"
 #include "config/config_type.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** @return The plan in a JSON text, or invalid_input with each fault. */
 expected<customer_plan> parse_plan(const std::string& text);
--- a/packages/config/config_type.hpp
+++ b/packages/config/config_type.hpp
@@ -2,13 +2,15 @@
 #pragma once
 
 #include "common/id_type.hpp"
+#include "common/json_type.hpp"
 #include "common/priority_type.hpp"
 
 #include <array>
 #include <string>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Targets of one priority; an answer later than these is refunded. */
 struct service_target
@@ -20,9 +22,7 @@
 
     bool operator==(const service_target&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(service_target, first_token_ms,
-                                                token_gap_ms, whole_answer_ms,
-                                                refund_percent)
+ROSEMARYDECK_JSON_DECLARE(service_target);
 
 /** A customer's plan: its budget, keys, weight and targets. */
 struct customer_plan
@@ -38,9 +38,7 @@
 
     bool operator==(const customer_plan&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(customer_plan, customer,
-                                                prepaid, api_keys, weight,
-                                                targets)
+ROSEMARYDECK_JSON_DECLARE(customer_plan);
 
 /** What a plan may use. */
 struct allowance
@@ -54,9 +52,7 @@
 
     bool operator==(const allowance&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(allowance, customer, targets,
-                                                priorities, max_concurrent,
-                                                requests_per_minute, max_tokens)
+ROSEMARYDECK_JSON_DECLARE(allowance);
 
 /** What a backend server is. */
 enum class server_kind
@@ -64,8 +60,7 @@
     engine,
     service,
 };
-NLOHMANN_JSON_SERIALIZE_ENUM(server_kind, {{server_kind::engine, "engine"},
-                                           {server_kind::service, "service"}})
+ROSEMARYDECK_JSON_DECLARE(server_kind);
 
 /** A backend server on the platform's list. */
 struct server_entry
@@ -83,10 +78,7 @@
 
     bool operator==(const server_entry&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(server_entry, server,
-                                                data_centre, address, port,
-                                                kind, targets, slots,
-                                                checks_fence, resumes, leaving)
+ROSEMARYDECK_JSON_DECLARE(server_entry);
 
 /** A VM on the platform's lagging list. */
 struct vm_entry
@@ -99,8 +91,7 @@
 
     bool operator==(const vm_entry&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(vm_entry, vm, data_centre,
-                                                address, peer_port, leaving)
+ROSEMARYDECK_JSON_DECLARE(vm_entry);
 
 inline const std::string fleet_prefix = "fleet/";
 inline const std::string plans_prefix = "fleet/plans/";
--- a/packages/core/action_type.hpp
+++ b/packages/core/action_type.hpp
@@ -3,7 +3,8 @@
 
 #include "core/peer_message_type.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Why a request is refused or has failed. */
 enum class refusal_reason
--- a/packages/core/adoption_base.cpp
+++ b/packages/core/adoption_base.cpp
@@ -5,10 +5,13 @@
 #include "member/member_func.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 std::vector<key_record>::iterator find_key(std::vector<key_record>& records,
                                            const idempotency_key& key)
--- a/packages/core/adoption_base.hpp
+++ b/packages/core/adoption_base.hpp
@@ -9,7 +9,8 @@
 #include <optional>
 #include <set>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /**
  * When a VM is gone, every VM of its data centre seals it and sends what it
--- a/packages/core/bill_writer_base.cpp
+++ b/packages/core/bill_writer_base.cpp
@@ -1,7 +1,10 @@
 /** @file bill_writer_base.cpp Writes bills to the platform. */
 #include "core/bill_writer_base.hpp"
 
-namespace rosemarydeck {
+#include <nlohmann/json.hpp>
+
+namespace rosemarydeck
+{
 
 bill_writer::bill_writer(core_context& context)
     : context_(context), outbox_(bills_prefix + context.self().value() + "/")
--- a/packages/core/bill_writer_base.hpp
+++ b/packages/core/bill_writer_base.hpp
@@ -4,7 +4,8 @@
 #include "core/core_context_base.hpp"
 #include "request/bill_outbox_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Keeps bills until the platform has confirmed them. */
 class bill_writer
--- a/packages/core/claim_base.cpp
+++ b/packages/core/claim_base.cpp
@@ -1,9 +1,13 @@
 /** @file claim_base.cpp The right to run a request that may run only once. */
 #include "core/claim_base.hpp"
 
-namespace rosemarydeck {
+#include <nlohmann/json.hpp>
 
-namespace {
+namespace rosemarydeck
+{
+
+namespace
+{
 
 const std::string claims_prefix = "claims/";
 const std::string issued_prefix = "order:";
@@ -16,7 +20,8 @@
 {
     try {
         return nlohmann::json::parse(text).get<claim_object>();
-    } catch (const nlohmann::json::exception&) {
+    }
+    catch (const nlohmann::json::exception&) {
         return {};
     }
 }
--- a/packages/core/claim_base.hpp
+++ b/packages/core/claim_base.hpp
@@ -1,6 +1,7 @@
 /** @file claim_base.hpp The right to run a request that may run only once. */
 #pragma once
 
+#include "common/json_type.hpp"
 #include "core/core_context_base.hpp"
 
 #include <functional>
@@ -8,7 +9,8 @@
 #include <set>
 #include <unordered_map>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** What a claim in the platform says. */
 struct claim_object
@@ -19,7 +21,7 @@
 
     bool operator==(const claim_object&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_object, claimant, token, fingerprint)
+ROSEMARYDECK_JSON_DECLARE(claim_object);
 
 /** How a claim ended. */
 enum class claim_outcome
--- a/packages/core/config_sync_base.cpp
+++ b/packages/core/config_sync_base.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr duration pull_pause = std::chrono::milliseconds(300);
 const std::string watch_place = "configuration watch";
--- a/packages/core/config_sync_base.hpp
+++ b/packages/core/config_sync_base.hpp
@@ -3,7 +3,8 @@
 
 #include "core/core_context_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /**
  * A few VMs of each data centre watch the platform; the others learn from
--- a/packages/core/core_context_base.cpp
+++ b/packages/core/core_context_base.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr duration report_age = std::chrono::seconds(3);
 constexpr duration failure_pause = std::chrono::milliseconds(500);
--- a/packages/core/core_context_base.hpp
+++ b/packages/core/core_context_base.hpp
@@ -16,7 +16,8 @@
 #include <random>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A grant in an account whose holder is not live. */
 struct stale_grant
--- a/packages/core/core_options_type.hpp
+++ b/packages/core/core_options_type.hpp
@@ -6,7 +6,8 @@
 
 #include <cstdint>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Settings of one decision core. */
 struct core_options
--- a/packages/core/core_timer_type.hpp
+++ b/packages/core/core_timer_type.hpp
@@ -5,7 +5,8 @@
 
 #include <variant>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Sends heartbeats and judges members. */
 struct heartbeat_timer
--- a/packages/core/decision_core_base.cpp
+++ b/packages/core/decision_core_base.cpp
@@ -5,9 +5,11 @@
 
 #include <array>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr duration sweep_every = std::chrono::seconds(10);
 
--- a/packages/core/decision_core_base.hpp
+++ b/packages/core/decision_core_base.hpp
@@ -1,6 +1,7 @@
 /** @file decision_core_base.hpp All decisions of one VM, without I/O. */
 #pragma once
 
+#include "common/json_type.hpp"
 #include "core/adoption_base.hpp"
 #include "core/bill_writer_base.hpp"
 #include "core/config_sync_base.hpp"
@@ -9,7 +10,8 @@
 #include "core/owner_base.hpp"
 #include "core/witness_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** One backend server's state, for operators. */
 struct server_status
@@ -20,8 +22,7 @@
     std::int64_t slots = 0;
     bool leaving = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(server_status, server, data_centre,
-                                   outstanding, slots, leaving)
+ROSEMARYDECK_JSON_DECLARE(server_status);
 
 /** A VM's own account of itself, for operators. */
 struct core_status
@@ -38,10 +39,7 @@
     std::vector<member_info> live;
     std::vector<server_status> servers;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(core_status, self, revision, draining,
-                                   watcher, open_requests, unflushed_bills,
-                                   customers, witness_records,
-                                   unfinished_adoptions, live, servers)
+ROSEMARYDECK_JSON_DECLARE(core_status);
 
 /**
  * Takes one event and the time, and returns what is to be done. The same
--- a/packages/core/dispatcher_attempt.cpp
+++ b/packages/core/dispatcher_attempt.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 /** Weight of the newest reading in a smoothed rate. */
 constexpr double smoothing = 0.1;
@@ -248,7 +250,8 @@
         open->excluded.push_back(open->server);
         open->delivered = event.delivered;
         enqueue(*open);
-    } else {
+    }
+    else {
         const bool not_run =
             event.failure == attempt_failure::not_sent && open->attempt == 1;
         give_up(*open, not_run ? ran_state::no : ran_state::unknown);
--- a/packages/core/dispatcher_base.cpp
+++ b/packages/core/dispatcher_base.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t brief_retry_ms = 500;
 constexpr std::int64_t drain_retry_ms = 100;
--- a/packages/core/dispatcher_base.hpp
+++ b/packages/core/dispatcher_base.hpp
@@ -10,7 +10,8 @@
 #include <optional>
 #include <unordered_map>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /**
  * Takes callers' requests through reservation, claim, queue, attempts and
--- a/packages/core/event_type.hpp
+++ b/packages/core/event_type.hpp
@@ -4,7 +4,8 @@
 #include "core/peer_message_type.hpp"
 #include "route/server_directory_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A caller's request, read whole and well-formed. */
 struct caller_request
--- a/packages/core/owner_base.cpp
+++ b/packages/core/owner_base.cpp
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <cmath>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t brief_retry_ms = 500;
 constexpr std::int64_t exhausted_retry_ms = 5000;
@@ -64,7 +66,8 @@
     else if (record.runner == from && record.id == request.id) {
         if (entry.answered)
             reply(from, request, reserve_outcome::reserved);
-    } else if (runner_lives)
+    }
+    else if (runner_lives)
         reply(from, request, reserve_outcome::running, record.runner);
     else if (entry.holder == context_.self())
         take_over(state, entry, from, request);
--- a/packages/core/owner_base.hpp
+++ b/packages/core/owner_base.hpp
@@ -11,7 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 class bill_writer;
 
--- a/packages/core/owner_renew.cpp
+++ b/packages/core/owner_renew.cpp
@@ -4,11 +4,14 @@
 #include "core/bill_writer_base.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <set>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr duration exhausted_memory = std::chrono::seconds(1);
 constexpr duration recall_pause = std::chrono::seconds(1);
@@ -197,7 +200,8 @@
         account fresh;
         fresh.customer = customer;
         state.account_value = fresh;
-    } else {
+    }
+    else {
         const auto& object = result->objects.front();
         const auto value = parse_account(object.value);
         if (!value) {
--- a/packages/core/owner_witness.cpp
+++ b/packages/core/owner_witness.cpp
@@ -3,7 +3,8 @@
 
 #include "core/bill_writer_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 void owner::replicate(const customer_id& customer, owned_customer& state,
                       const std::vector<idempotency_key>& keys)
--- a/packages/core/peer_message_func.cpp
+++ b/packages/core/peer_message_func.cpp
@@ -1,11 +1,14 @@
 /** @file peer_message_func.cpp CBOR form of peer messages. */
 #include "core/peer_message_func.hpp"
 
+#include <nlohmann/json.hpp>
 #include <optional>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 tl::unexpected<error> bad(const std::string& text)
 {
@@ -23,7 +26,8 @@
         if (name == message::name)
             return body.get<message>();
         return decode_body<Index + 1>(name, body);
-    } else
+    }
+    else
         return std::nullopt;
 }
 
@@ -55,7 +59,8 @@
         if (!message)
             return bad("unknown kind '" + name + "'");
         return *message;
-    } catch (const nlohmann::json::exception& fault) {
+    }
+    catch (const nlohmann::json::exception& fault) {
         return bad(fault.what());
     }
 }
--- a/packages/core/peer_message_func.hpp
+++ b/packages/core/peer_message_func.hpp
@@ -7,7 +7,8 @@
 #include <cstdint>
 #include <string>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** @param message A message. @return Its CBOR bytes with the version. */
 std::string encode_message(const peer_message& message);
--- a/packages/core/peer_message_type.hpp
+++ b/packages/core/peer_message_type.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "budget/account_type.hpp"
+#include "common/json_type.hpp"
 #include "member/member_type.hpp"
 #include "platform/platform_type.hpp"
 #include "request/bill_type.hpp"
@@ -11,7 +12,8 @@
 #include <variant>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Version of the messages; peers of another version are turned away. */
 inline constexpr std::uint32_t peer_protocol_version = 1;
@@ -27,7 +29,7 @@
 
     bool operator==(const heartbeat&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat, info, when, revision, draining)
+ROSEMARYDECK_JSON_DECLARE(heartbeat);
 
 /** Asks a peer for configuration newer than a revision. */
 struct config_pull
@@ -37,7 +39,7 @@
 
     bool operator==(const config_pull&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_pull, since)
+ROSEMARYDECK_JSON_DECLARE(config_pull);
 
 /** Configuration that is complete up to a revision. */
 struct config_push
@@ -49,7 +51,7 @@
 
     bool operator==(const config_push&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_push, since, revision, objects)
+ROSEMARYDECK_JSON_DECLARE(config_push);
 
 /** Asks a customer's owner to reserve tokens for a request. */
 struct reserve_request
@@ -63,8 +65,7 @@
 
     bool operator==(const reserve_request&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(reserve_request, id, customer, key,
-                                   fingerprint, amount)
+ROSEMARYDECK_JSON_DECLARE(reserve_request);
 
 /** What became of a reservation. */
 enum class reserve_outcome
@@ -78,17 +79,7 @@
     unavailable,  ///< The budget can't be reached at present.
     over_limit,   ///< The allowance's rate or concurrency is used up.
 };
-// clang-format off
-NLOHMANN_JSON_SERIALIZE_ENUM(reserve_outcome, {
-    {reserve_outcome::unavailable, "unavailable"},
-    {reserve_outcome::reserved, "reserved"},
-    {reserve_outcome::running, "running"},
-    {reserve_outcome::finished, "finished"},
-    {reserve_outcome::rerun, "rerun"},
-    {reserve_outcome::key_conflict, "key_conflict"},
-    {reserve_outcome::exhausted, "exhausted"},
-    {reserve_outcome::over_limit, "over_limit"}})
-// clang-format on
+ROSEMARYDECK_JSON_DECLARE(reserve_outcome);
 
 /** The owner's answer to reserve_request. */
 struct reserve_reply
@@ -102,8 +93,7 @@
 
     bool operator==(const reserve_reply&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(reserve_reply, id, outcome, holder, runner,
-                                   retry_after_ms)
+ROSEMARYDECK_JSON_DECLARE(reserve_reply);
 
 /** State of a key at a customer's owner and its witness. */
 enum class key_state
@@ -112,9 +102,7 @@
     finished, ///< Billed.
     released, ///< Ended without a bill.
 };
-NLOHMANN_JSON_SERIALIZE_ENUM(key_state, {{key_state::running, "running"},
-                                         {key_state::finished, "finished"},
-                                         {key_state::released, "released"}})
+ROSEMARYDECK_JSON_DECLARE(key_state);
 
 /** One key with its reservation and, in the end, its bill. */
 struct key_record
@@ -130,8 +118,7 @@
 
     bool operator==(const key_record&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(key_record, key, fingerprint, runner, id,
-                                   amount, state, charge, stored)
+ROSEMARYDECK_JSON_DECLARE(key_record);
 
 /** Reports a request's end to the holder of its reservation. */
 struct settle_request
@@ -143,7 +130,7 @@
 
     bool operator==(const settle_request&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(settle_request, holder, customer, record)
+ROSEMARYDECK_JSON_DECLARE(settle_request);
 
 /** Two VMs now know the end of this request. */
 struct settle_reply
@@ -155,7 +142,7 @@
 
     bool operator==(const settle_reply&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(settle_reply, customer, key, id)
+ROSEMARYDECK_JSON_DECLARE(settle_reply);
 
 /** Records of one customer on one holder's grant. */
 struct customer_records
@@ -167,8 +154,7 @@
 
     bool operator==(const customer_records&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(customer_records, customer, used_total,
-                                   by_holder, records)
+ROSEMARYDECK_JSON_DECLARE(customer_records);
 
 /** A holder's records for its witness; dispatch waits for the answer. */
 struct witness_put
@@ -179,7 +165,7 @@
 
     bool operator==(const witness_put&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(witness_put, number, entry)
+ROSEMARYDECK_JSON_DECLARE(witness_put);
 
 /** The witness has the record, or refuses as it has sealed the holder. */
 struct witness_ack
@@ -190,7 +176,7 @@
 
     bool operator==(const witness_ack&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(witness_ack, number, sealed)
+ROSEMARYDECK_JSON_DECLARE(witness_ack);
 
 /** One customer's key. */
 struct customer_key
@@ -200,7 +186,7 @@
 
     auto operator<=>(const customer_key&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(customer_key, customer, key)
+ROSEMARYDECK_JSON_DECLARE(customer_key);
 
 /** Bills that the platform has stored, so that no heir need store them. */
 struct witness_stored
@@ -210,7 +196,7 @@
 
     bool operator==(const witness_stored&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(witness_stored, keys)
+ROSEMARYDECK_JSON_DECLARE(witness_stored);
 
 /** Tells a customer's new owner which keys run here. */
 struct running_notice
@@ -222,7 +208,7 @@
 
     bool operator==(const running_notice&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(running_notice, customer, holder, record)
+ROSEMARYDECK_JSON_DECLARE(running_notice);
 
 /**
  * A VM's seal of a lost holder: it will be no witness to it any more, and
@@ -237,7 +223,7 @@
 
     bool operator==(const seal_notice&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(seal_notice, lost, view, entries)
+ROSEMARYDECK_JSON_DECLARE(seal_notice);
 
 /** Asks another data centre's owner to give back what it does not need. */
 struct recall_request
@@ -248,7 +234,7 @@
 
     bool operator==(const recall_request&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(recall_request, customer, wanted)
+ROSEMARYDECK_JSON_DECLARE(recall_request);
 
 /** Tokens have been given back after a recall. */
 struct recall_reply
@@ -259,7 +245,7 @@
 
     bool operator==(const recall_reply&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(recall_reply, customer, returned)
+ROSEMARYDECK_JSON_DECLARE(recall_reply);
 
 /** A backend server is leaving. */
 struct server_notice
@@ -269,7 +255,7 @@
 
     bool operator==(const server_notice&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(server_notice, server)
+ROSEMARYDECK_JSON_DECLARE(server_notice);
 
 /** The sender ends in good order and holds nothing any more. */
 struct goodbye
@@ -279,7 +265,7 @@
 
     bool operator==(const goodbye&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(goodbye, instance)
+ROSEMARYDECK_JSON_DECLARE(goodbye);
 
 /** Any message between two cores. */
 using peer_message =
--- a/packages/core/platform_caller_base.cpp
+++ b/packages/core/platform_caller_base.cpp
@@ -3,9 +3,11 @@
 
 #include "common/overload_func.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 /** Calls in flight at once, a waiting watch aside. */
 constexpr std::size_t max_in_flight = 16;
--- a/packages/core/platform_caller_base.hpp
+++ b/packages/core/platform_caller_base.hpp
@@ -10,7 +10,8 @@
 #include <optional>
 #include <variant>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A renewal of a customer's grant. */
 struct renewal_purpose
--- a/packages/core/witness_base.cpp
+++ b/packages/core/witness_base.cpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 witness::witness(core_context& context) : context_(context) {}
 
--- a/packages/core/witness_base.hpp
+++ b/packages/core/witness_base.hpp
@@ -6,7 +6,8 @@
 #include <set>
 #include <unordered_map>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /**
  * Keeps what owners of this data centre tell about their reservations. Once
--- a/packages/daemon/daemon_base.cpp
+++ b/packages/daemon/daemon_base.cpp
@@ -9,11 +9,14 @@
 #include <boost/asio/post.hpp>
 #include <boost/fiber/all.hpp>
 #include <csignal>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 using milliseconds = std::chrono::milliseconds;
 
--- a/packages/daemon/daemon_base.hpp
+++ b/packages/daemon/daemon_base.hpp
@@ -14,7 +14,8 @@
 #include <memory>
 #include <set>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** How a daemon has ended; the value is the process's exit code. */
 enum class daemon_exit
--- a/packages/daemon/daemon_main.cpp
+++ b/packages/daemon/daemon_main.cpp
@@ -6,7 +6,8 @@
 #include <cstdlib>
 #include <popt.h>
 
-namespace {
+namespace
+{
 
 using namespace rosemarydeck;
 
--- a/packages/daemon/daemon_operator.cpp
+++ b/packages/daemon/daemon_operator.cpp
@@ -8,8 +8,10 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/loggingmacros.h>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 template <class Value>
 Value daemon::ask(std::function<Value()> query)
--- a/packages/daemon/platform_client_base.cpp
+++ b/packages/daemon/platform_client_base.cpp
@@ -4,10 +4,13 @@
 #include "platform/platform_codec_func.hpp"
 
 #include <fstream>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 std::chrono::milliseconds wait_of(const platform_request& request)
 {
--- a/packages/daemon/platform_client_base.hpp
+++ b/packages/daemon/platform_client_base.hpp
@@ -10,7 +10,8 @@
 #include <memory>
 #include <variant>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** The platform's service over HTTP. */
 class http_platform
--- a/packages/member/member_func.hpp
+++ b/packages/member/member_func.hpp
@@ -5,7 +5,8 @@
 
 #include <charconv>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** @param vm A VM. @param started Its start number. @return The instance. */
 inline instance_id make_instance(const vm_id& vm, std::uint64_t started)
--- a/packages/member/member_type.hpp
+++ b/packages/member/member_type.hpp
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "common/id_type.hpp"
+#include "common/json_type.hpp"
 #include "common/time_type.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** One run of a daemon: who it is and where it is reached. */
 struct member_info
@@ -19,8 +21,7 @@
 
     bool operator==(const member_info&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_info, instance, vm, data_centre,
-                                   address, peer_port, caller_port, started)
+ROSEMARYDECK_JSON_DECLARE(member_info);
 
 /** How much a member is trusted with work. */
 enum class member_state
--- a/packages/member/membership_base.cpp
+++ b/packages/member/membership_base.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 membership::membership(membership_options options)
     : options_(std::move(options))
--- a/packages/member/membership_base.hpp
+++ b/packages/member/membership_base.hpp
@@ -7,7 +7,8 @@
 #include <string_view>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Settings of the failure detector. */
 struct membership_options
--- a/packages/peer/peer_auth_func.cpp
+++ b/packages/peer/peer_auth_func.cpp
@@ -8,9 +8,11 @@
 #include <openssl/rand.h>
 #include <stdexcept>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t nonce_bytes = 16;
 
--- a/packages/peer/peer_auth_func.hpp
+++ b/packages/peer/peer_auth_func.hpp
@@ -3,7 +3,8 @@
 
 #include <string>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** @return A fresh random nonce of 32 hexadecimal digits. */
 std::string make_nonce();
--- a/packages/peer/peer_link_base.cpp
+++ b/packages/peer/peer_link_base.cpp
@@ -3,9 +3,13 @@
 
 #include "peer/peer_auth_func.hpp"
 
-namespace rosemarydeck {
+#include <nlohmann/json.hpp>
 
-namespace {
+namespace rosemarydeck
+{
+
+namespace
+{
 
 std::string proof_text(const std::string& first, const std::string& second,
                        const member_info& who)
@@ -141,7 +145,8 @@
             admit(number, state, who);
         else
             reject(number, who.instance.value(), "wrong proof");
-    } catch (const nlohmann::json::exception& fault) {
+    }
+    catch (const nlohmann::json::exception& fault) {
         reject(number, "", fault.what());
     }
 }
--- a/packages/peer/peer_link_base.hpp
+++ b/packages/peer/peer_link_base.hpp
@@ -10,7 +10,8 @@
 #include <map>
 #include <memory>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Settings of the peer link. */
 struct peer_link_options
--- a/packages/peer/peer_socket_base.cpp
+++ b/packages/peer/peer_socket_base.cpp
@@ -10,9 +10,11 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 using server_endpoint = websocketpp::server<websocketpp::config::asio>;
 using client_endpoint = websocketpp::client<websocketpp::config::asio_client>;
--- a/packages/peer/peer_socket_base.hpp
+++ b/packages/peer/peer_socket_base.hpp
@@ -7,11 +7,13 @@
 #include <memory>
 #include <string>
 
-namespace boost::asio {
+namespace boost::asio
+{
 class io_context;
 }
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Settings of the sockets. */
 struct peer_socket_options
--- a/packages/platform/object_store_base.cpp
+++ b/packages/platform/object_store_base.cpp
@@ -3,9 +3,11 @@
 
 #include "common/overload_func.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 tl::unexpected<error> fail(error_code code, const std::string& name,
                            const std::string& text)
--- a/packages/platform/object_store_base.hpp
+++ b/packages/platform/object_store_base.hpp
@@ -5,7 +5,8 @@
 
 #include <map>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /**
  * Versioned objects in memory. Serves as the embedded platform of a trial
--- a/packages/platform/platform_codec_func.cpp
+++ b/packages/platform/platform_codec_func.cpp
@@ -5,10 +5,13 @@
 
 #include <array>
 #include <charconv>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr unsigned status_ok = 200;
 
@@ -163,7 +166,8 @@
     if (status == status_ok && !json.is_discarded()) {
         try {
             return json.get<platform_reply>();
-        } catch (const nlohmann::json::exception& wrong) {
+        }
+        catch (const nlohmann::json::exception& wrong) {
             fault.text = wrong.what();
         }
     }
--- a/packages/platform/platform_codec_func.hpp
+++ b/packages/platform/platform_codec_func.hpp
@@ -3,7 +3,8 @@
 
 #include "platform/platform_type.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A platform call as an HTTP request. */
 struct platform_http_request
--- /dev/null
+++ b/packages/platform/platform_json_func.cpp
@@ -0,0 +1,13 @@
+/** @file platform_json_func.cpp JSON forms of this package's types. */
+#include "platform/platform_type.hpp"
+
+#include "common/json_func.hpp"
+
+namespace rosemarydeck
+{
+
+ROSEMARYDECK_JSON(platform_object, name, version, value, deleted)
+
+ROSEMARYDECK_JSON(platform_reply, revision, objects)
+
+} // namespace rosemarydeck
--- a/packages/platform/platform_type.hpp
+++ b/packages/platform/platform_type.hpp
@@ -3,6 +3,7 @@
 
 #include "common/error_type.hpp"
 #include "common/id_type.hpp"
+#include "common/json_type.hpp"
 #include "common/time_type.hpp"
 
 #include <cstdint>
@@ -10,7 +11,8 @@
 #include <variant>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /**
  * Version of an object: the service's revision at its last write. It grows
@@ -31,8 +33,7 @@
 
     bool operator==(const platform_object&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(platform_object, name, version, value,
-                                   deleted)
+ROSEMARYDECK_JSON_DECLARE(platform_object);
 
 /** Reads one object. */
 struct get_object
@@ -95,7 +96,7 @@
 
     bool operator==(const platform_reply&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(platform_reply, revision, objects)
+ROSEMARYDECK_JSON_DECLARE(platform_reply);
 
 /**
  * The outcome of a call. Errors: not_found, conflict (the version has moved
--- a/packages/request/bill_outbox_base.cpp
+++ b/packages/request/bill_outbox_base.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 /** Keeps a batch of the longest allowed names under one object's size. */
 constexpr std::size_t max_batch_bills = 1500;
--- a/packages/request/bill_outbox_base.hpp
+++ b/packages/request/bill_outbox_base.hpp
@@ -8,7 +8,8 @@
 #include <optional>
 #include <string>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A batch under a name that is fixed before the first try to write it. */
 struct named_batch
--- a/packages/request/bill_type.hpp
+++ b/packages/request/bill_type.hpp
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "common/id_type.hpp"
+#include "common/json_type.hpp"
 #include "common/priority_type.hpp"
 
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Tokens that a backend server reports for one answer. */
 struct token_usage
@@ -18,7 +20,7 @@
     [[nodiscard]] token_count total() const { return prompt + completion; }
     bool operator==(const token_usage&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(token_usage, prompt, completion)
+ROSEMARYDECK_JSON_DECLARE(token_usage);
 
 /** How long an answer took. */
 struct answer_timing
@@ -28,8 +30,7 @@
 
     bool operator==(const answer_timing&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_timing, first_token_ms,
-                                   whole_answer_ms)
+ROSEMARYDECK_JSON_DECLARE(answer_timing);
 
 /** The one bill of one request; its identity is customer and key. */
 struct bill
@@ -48,8 +49,7 @@
     [[nodiscard]] token_count net() const { return charged - refunded; }
     bool operator==(const bill&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(bill, customer, key, target, rank, usage,
-                                   charged, refunded, timing, at_us)
+ROSEMARYDECK_JSON_DECLARE(bill);
 
 /** Bills written to the platform as one object. */
 struct bill_batch
@@ -58,7 +58,7 @@
 
     bool operator==(const bill_batch&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(bill_batch, bills)
+ROSEMARYDECK_JSON_DECLARE(bill_batch);
 
 inline const std::string bills_prefix = "bills/";
 
--- a/packages/request/charge_func.cpp
+++ b/packages/request/charge_func.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t all_percent = 100;
 
--- a/packages/request/charge_func.hpp
+++ b/packages/request/charge_func.hpp
@@ -4,7 +4,8 @@
 #include "config/config_type.hpp"
 #include "request/bill_type.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /**
  * Computes the charge: the reported usage, at most what was reserved, and
--- /dev/null
+++ b/packages/route/route_json_func.cpp
@@ -0,0 +1,11 @@
+/** @file route_json_func.cpp JSON forms of this package's types. */
+#include "route/server_directory_base.hpp"
+
+#include "common/json_func.hpp"
+
+namespace rosemarydeck
+{
+
+ROSEMARYDECK_JSON_WITH_DEFAULT(load_report, running, waiting, slots, leaving)
+
+} // namespace rosemarydeck
--- a/packages/route/server_directory_base.cpp
+++ b/packages/route/server_directory_base.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 server_directory::server_directory(route_options options) : options_(options) {}
 
--- a/packages/route/server_directory_base.hpp
+++ b/packages/route/server_directory_base.hpp
@@ -1,6 +1,7 @@
 /** @file server_directory_base.hpp Backend servers and the choice of one. */
 #pragma once
 
+#include "common/json_type.hpp"
 #include "common/time_type.hpp"
 #include "config/config_type.hpp"
 
@@ -9,7 +10,8 @@
 #include <optional>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** What a backend server reports of itself; it is old when it arrives. */
 struct load_report
@@ -21,8 +23,7 @@
 
     bool operator==(const load_report&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(load_report, running, waiting,
-                                                slots, leaving)
+ROSEMARYDECK_JSON_DECLARE(load_report);
 
 /** What a request needs from a backend server. */
 struct route_wish
--- a/packages/schedule/fair_queue_base.cpp
+++ b/packages/schedule/fair_queue_base.cpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 /** Tokens after which the shares of the priorities are forgotten by half. */
 constexpr double share_memory_tokens = 200'000;
--- a/packages/schedule/fair_queue_base.hpp
+++ b/packages/schedule/fair_queue_base.hpp
@@ -14,7 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A request that waits for a backend server. */
 struct waiting_request
--- a/packages/settings/settings_base.cpp
+++ b/packages/settings/settings_base.cpp
@@ -10,9 +10,11 @@
 #include <fstream>
 #include <sstream>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t secret_length = 16;
 
@@ -43,8 +45,9 @@
             section = trimmed(line.substr(1, line.find(']') - 1));
             if (name.key.empty() && section == name.section)
                 return number;
-        } else if (section == name.section &&
-                   trimmed(line.substr(0, line.find('='))) == name.key)
+        }
+        else if (section == name.section &&
+                 trimmed(line.substr(0, line.find('='))) == name.key)
             return number;
     }
     return 0;
@@ -121,7 +124,8 @@
     std::istringstream stream(text);
     try {
         boost::property_tree::read_ini(stream, tree);
-    } catch (const boost::property_tree::ini_parser_error& fault) {
+    }
+    catch (const boost::property_tree::ini_parser_error& fault) {
         return tl::unexpected(std::vector<setting_fault>{
             {fault.line(), "not INI: " + fault.message()}});
     }
--- a/packages/settings/settings_base.hpp
+++ b/packages/settings/settings_base.hpp
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** One fault in a settings file. */
 struct setting_fault
--- a/packages/settings/settings_table.cpp
+++ b/packages/settings/settings_table.cpp
@@ -3,9 +3,11 @@
 
 #include <array>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 using s = settings;
 constexpr std::int64_t hour_ms = 3'600'000;
--- a/packages/settings/settings_table.hpp
+++ b/packages/settings/settings_table.hpp
@@ -7,7 +7,8 @@
 #include <string_view>
 #include <variant>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Where a setting is kept. */
 using setting_member =
--- a/packages/settings/settings_type.hpp
+++ b/packages/settings/settings_type.hpp
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Everything that a daemon reads from its INI file. */
 struct settings
--- a/packages/timeline/metrics_base.cpp
+++ b/packages/timeline/metrics_base.cpp
@@ -4,9 +4,11 @@
 #include <array>
 #include <sstream>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 namespace acc = boost::accumulators;
 
--- a/packages/timeline/metrics_base.hpp
+++ b/packages/timeline/metrics_base.hpp
@@ -12,7 +12,8 @@
 #include <map>
 #include <string>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Named counters and summaries; used from the control thread only. */
 class metrics_registry
--- a/packages/timeline/timeline_base.cpp
+++ b/packages/timeline/timeline_base.cpp
@@ -2,8 +2,10 @@
 #include "timeline/timeline_base.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 hybrid_time hybrid_clock::next(time_point now)
 {
--- a/packages/timeline/timeline_base.hpp
+++ b/packages/timeline/timeline_base.hpp
@@ -7,7 +7,8 @@
 #include <boost/circular_buffer.hpp>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Gives out hybrid times, each later than any given or seen before. */
 class hybrid_clock
--- a/packages/web/answer_log_base.cpp
+++ b/packages/web/answer_log_base.cpp
@@ -1,7 +1,8 @@
 /** @file answer_log_base.cpp One request and the answer as it grows. */
 #include "web/answer_log_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 answer_log::answer_log(upstream_request request, std::size_t max_bytes)
     : request_(std::move(request)), max_bytes_(max_bytes)
--- a/packages/web/answer_log_base.hpp
+++ b/packages/web/answer_log_base.hpp
@@ -12,7 +12,8 @@
 #include <variant>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A caller's request as it goes on to a backend server. */
 struct upstream_request
--- a/packages/web/answer_store_base.cpp
+++ b/packages/web/answer_store_base.cpp
@@ -1,7 +1,8 @@
 /** @file answer_store_base.cpp Answers of open and finished requests. */
 #include "web/answer_store_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 answer_store::answer_store(std::size_t max_kept_bytes)
     : max_kept_bytes_(max_kept_bytes)
--- a/packages/web/answer_store_base.hpp
+++ b/packages/web/answer_store_base.hpp
@@ -7,7 +7,8 @@
 #include <list>
 #include <unordered_map>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Finds logs by request number; keeps finished ones up to a size. */
 class answer_store
--- a/packages/web/attempt_base.cpp
+++ b/packages/web/attempt_base.cpp
@@ -7,9 +7,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 namespace http = boost::beast::http;
 
--- a/packages/web/attempt_base.hpp
+++ b/packages/web/attempt_base.hpp
@@ -11,7 +11,8 @@
 #include <functional>
 #include <memory>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Settings of attempts. */
 struct attempt_options
--- a/packages/web/caller_operator.cpp
+++ b/packages/web/caller_operator.cpp
@@ -6,9 +6,11 @@
 
 #include <openssl/crypto.h>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 namespace http = boost::beast::http;
 
--- a/packages/web/caller_service_base.cpp
+++ b/packages/web/caller_service_base.cpp
@@ -8,10 +8,13 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/all.hpp>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 using boost::asio::ip::tcp;
 
@@ -24,7 +27,8 @@
 {
     try {
         return nlohmann::json::parse(text).get<load_report>();
-    } catch (const nlohmann::json::exception&) {
+    }
+    catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
 }
--- a/packages/web/caller_service_base.hpp
+++ b/packages/web/caller_service_base.hpp
@@ -11,7 +11,8 @@
 #include <thread>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A backend server whose load is asked for. */
 struct polled_server
--- a/packages/web/caller_session_base.cpp
+++ b/packages/web/caller_session_base.cpp
@@ -7,11 +7,14 @@
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 namespace http = boost::beast::http;
 using milliseconds = std::chrono::milliseconds;
@@ -89,10 +92,11 @@
               none);
     else if (fault == boost::beast::error::timeout && parser.got_some()) {
         // The stream is closed by its own timer; nothing can be written.
-    } else if (fault.category() ==
-                   http::make_error_code(http::error::bad_method).category() &&
-               fault != http::error::end_of_stream &&
-               fault != http::error::partial_message)
+    }
+    else if (fault.category() ==
+                 http::make_error_code(http::error::bad_method).category() &&
+             fault != http::error::end_of_stream &&
+             fault != http::error::partial_message)
         write(error_reply(400, "malformed_request", fault.message()), none);
     return false;
 }
@@ -168,7 +172,8 @@
             if (stream) {
                 if (!write_part(*part, stream, started, request.keep_alive()))
                     return false;
-            } else
+            }
+            else
                 whole += part->bytes;
             if (!part->finished)
                 continue;
--- a/packages/web/caller_session_base.hpp
+++ b/packages/web/caller_session_base.hpp
@@ -10,7 +10,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <functional>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** How traffic reaches the control thread; each call waits in its fiber. */
 struct control_port
--- a/packages/web/chat_request_func.cpp
+++ b/packages/web/chat_request_func.cpp
@@ -4,10 +4,13 @@
 #include "common/hash_func.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 namespace http = boost::beast::http;
 
@@ -112,7 +115,8 @@
         const auto read = read_chat(json, parsed);
         if (!read)
             return tl::unexpected(read.error());
-    } catch (const nlohmann::json::exception& fault) {
+    }
+    catch (const nlohmann::json::exception& fault) {
         return bad(fault.what());
     }
     parsed.upstream.path = "/v1/chat/completions";
--- a/packages/web/chat_request_func.hpp
+++ b/packages/web/chat_request_func.hpp
@@ -5,7 +5,8 @@
 #include "web/answer_log_base.hpp"
 #include "web/http_client_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** A caller's request, for the core and for the backend server. */
 struct parsed_request
--- a/packages/web/fiber_scheduler_base.cpp
+++ b/packages/web/fiber_scheduler_base.cpp
@@ -3,7 +3,8 @@
 
 #include <boost/asio/post.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 fiber_scheduler::fiber_scheduler(boost::asio::io_context& context)
     : context_(context), work_(context.get_executor()), timer_(context)
--- a/packages/web/fiber_scheduler_base.hpp
+++ b/packages/web/fiber_scheduler_base.hpp
@@ -9,7 +9,8 @@
 #include <boost/fiber/scheduler.hpp>
 #include <boost/system/error_code.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /**
  * Runs one thread's fibers in turn, and its io_context whenever no fiber is
--- a/packages/web/fiber_slot_base.hpp
+++ b/packages/web/fiber_slot_base.hpp
@@ -6,7 +6,8 @@
 #include <optional>
 #include <utility>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** Filled once by any thread, waited for by one fiber. */
 template <class Value>
--- a/packages/web/http_client_base.hpp
+++ b/packages/web/http_client_base.hpp
@@ -13,7 +13,8 @@
 #include <map>
 #include <memory>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 using http_request =
     boost::beast::http::request<boost::beast::http::string_body>;
--- a/packages/web/reply_func.cpp
+++ b/packages/web/reply_func.cpp
@@ -3,9 +3,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
-namespace {
+namespace
+{
 
 namespace http = boost::beast::http;
 
--- a/packages/web/reply_func.hpp
+++ b/packages/web/reply_func.hpp
@@ -4,7 +4,8 @@
 #include "core/action_type.hpp"
 #include "web/http_client_base.hpp"
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** @param reason Why a request was refused. @return Its HTTP status. */
 unsigned status_of(refusal_reason reason);
--- a/packages/web/sse_func.cpp
+++ b/packages/web/sse_func.cpp
@@ -1,9 +1,13 @@
 /** @file sse_func.cpp Server-sent events of chat answers. */
 #include "web/sse_func.hpp"
 
-namespace rosemarydeck {
+#include <nlohmann/json.hpp>
 
-namespace {
+namespace rosemarydeck
+{
+
+namespace
+{
 
 constexpr std::string_view data_field = "data: ";
 constexpr std::string_view end_of_event = "\n\n";
@@ -61,7 +65,8 @@
         event.tokens = tokens_in(json);
         event.usage = usage_of(json);
         event.id = json.value("id", std::string());
-    } catch (const nlohmann::json::exception&) {
+    }
+    catch (const nlohmann::json::exception&) {
         event.malformed = true;
     }
     return event;
@@ -93,7 +98,8 @@
         return std::nullopt;
     try {
         return usage_of(json);
-    } catch (const nlohmann::json::exception&) {
+    }
+    catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
 }
--- a/packages/web/sse_func.hpp
+++ b/packages/web/sse_func.hpp
@@ -8,7 +8,8 @@
 #include <string_view>
 #include <vector>
 
-namespace rosemarydeck {
+namespace rosemarydeck
+{
 
 /** What one event of a chat stream is. */
 struct chat_event
--- a/tests/standin/standin_engine.cpp
+++ b/tests/standin/standin_engine.cpp
@@ -10,9 +10,11 @@
 #include <sstream>
 #include <thread>
 
-namespace standin {
+namespace standin
+{
 
-namespace {
+namespace
+{
 
 using json = nlohmann::json;
 using std::chrono::milliseconds;
--- a/tests/standin/standin_platform.cpp
+++ b/tests/standin/standin_platform.cpp
@@ -8,11 +8,14 @@
 #include <condition_variable>
 #include <fstream>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <thread>
 
-namespace standin {
+namespace standin
+{
 
-namespace {
+namespace
+{
 
 using namespace rosemarydeck;
 using std::chrono::milliseconds;
--- a/tests/standin/standin_server.cpp
+++ b/tests/standin/standin_server.cpp
@@ -8,7 +8,8 @@
 #include <cstdio>
 #include <thread>
 
-namespace standin {
+namespace standin
+{
 
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
--- a/tests/standin/standin_server.hpp
+++ b/tests/standin/standin_server.hpp
@@ -8,7 +8,8 @@
 #include <functional>
 #include <string>
 
-namespace standin {
+namespace standin
+{
 
 using http_call = boost::beast::http::request<boost::beast::http::string_body>;
 using socket = boost::asio::ip::tcp::socket;
