--- a/packages/core/adoption_base.cpp
+++ b/packages/core/adoption_base.cpp
@@ -38,9 +38,7 @@
     for (const auto& [other, vm] : lost_)
         for (const auto& [customer, task] : vm.tasks)
             if (other != lost && !task.done)
-                found->second.exact = false;
-    if (context_.members.find(lost) == nullptr)
-        found->second.exact = false;
+                found->second.overlap = true;
     found->second.since = context_.now;
     witness_.seal(lost);
     context_.record(timeline_kind::grant_sealed, {}, {}, lost.value());
@@ -80,7 +78,8 @@
     std::map<instance_id, seal_notice> notices;
     for (const auto& instance :
          context_.members.live_in(context_.data_centre()))
-        notices[instance] = {lost, view(), {}};
+        notices[instance] = {
+            lost, view(), witness_.synced(lost), lost_.at(lost).overlap, {}};
     for (auto& entry : all_records(lost))
         notices[context_.owner_of(entry.customer)].entries.push_back(
             std::move(entry));
@@ -98,7 +97,7 @@
         send_seals(notice.lost);
     }
     auto& vm = lost_.at(notice.lost);
-    vm.seals[from] = notice.view;
+    vm.seals[from] = {notice.view, notice.synced, notice.overlap};
     for (const auto& entry : notice.entries)
         merge(vm, entry);
     start_tasks(notice.lost, vm);
@@ -156,12 +155,20 @@
     return task.found.used_total;
 }
 
+bool adoption_role::exact(const lost_vm& vm) const
+{
+    const auto synced = [](const auto& seal) { return seal.second.synced; };
+    const auto overlaps = [](const auto& seal) { return seal.second.overlap; };
+    return std::any_of(vm.seals.begin(), vm.seals.end(), synced) &&
+           std::none_of(vm.seals.begin(), vm.seals.end(), overlaps);
+}
+
 bool adoption_role::complete(const lost_vm& vm) const
 {
     const auto current = view();
     const auto sealed = [&](const instance_id& instance) {
         const auto found = vm.seals.find(instance);
-        return found != vm.seals.end() && found->second == current;
+        return found != vm.seals.end() && found->second.view == current;
     };
     const auto peers = context_.members.possible_peers();
     return sealed(context_.self()) &&
@@ -265,7 +272,7 @@
                               .data_centre = context_.data_centre(),
                               .used_total = known,
                               .open = task.open,
-                              .exact = vm.exact});
+                              .exact = exact(vm)});
     if (!after)
         return retry(lost, customer, task);
     task.wrote = true;
--- a/packages/core/adoption_base.hpp
+++ b/packages/core/adoption_base.hpp
@@ -55,11 +55,17 @@
         token_count credit = 0;
         std::optional<account> before;
     };
+    struct seal_mark
+    {
+        std::uint64_t view = 0;
+        bool synced = false;
+        bool overlap = false;
+    };
     struct lost_vm
     {
-        bool exact = true;
         time_point since;
-        std::map<instance_id, std::uint64_t> seals; ///< Sender and its view.
+        bool overlap = false; ///< As this VM saw it when it sealed.
+        std::map<instance_id, seal_mark> seals;
         std::map<customer_id, heir_task> tasks;
     };
 
@@ -70,6 +76,7 @@
     [[nodiscard]] std::uint64_t view() const;
     void merge(lost_vm& vm, const customer_records& entry);
     token_count weigh_records(const customer_id& customer, heir_task& task);
+    [[nodiscard]] bool exact(const lost_vm& vm) const;
     [[nodiscard]] bool complete(const lost_vm& vm) const;
     void start_tasks(const instance_id& lost, lost_vm& vm);
     void read(const instance_id& lost, const customer_id& customer);
--- a/packages/core/core_json_func.cpp
+++ b/packages/core/core_json_func.cpp
@@ -60,7 +60,9 @@
 
 ROSEMARYDECK_JSON(running_notice, customer, holder, record)
 
-ROSEMARYDECK_JSON(seal_notice, lost, view, entries)
+ROSEMARYDECK_JSON(seal_notice, lost, view, synced, overlap, entries)
+
+ROSEMARYDECK_JSON(witness_synced, number)
 
 ROSEMARYDECK_JSON(recall_request, customer, wanted)
 
--- a/packages/core/owner_base.cpp
+++ b/packages/core/owner_base.cpp
@@ -159,8 +159,10 @@
 void owner::serve_waiting(owned_customer& state)
 {
     while (!state.waiting.empty()) {
+        // The same key may have been reserved for another VM meanwhile.
         const auto& next = state.waiting.front();
-        if (!try_reserve(state, next.from, next.request))
+        if (!answer_known(state, next.from, next.request) &&
+            !try_reserve(state, next.from, next.request))
             return;
         state.waiting.pop_front();
     }
--- a/packages/core/owner_witness.cpp
+++ b/packages/core/owner_witness.cpp
@@ -53,6 +53,11 @@
         if (context_.witness_for(customer).empty())
             want_renewal(customer, state, duration{});
     }
+    for (const auto& instance :
+         context_.members.live_in(context_.data_centre()))
+        if (instance != context_.self())
+            context_.send(instance,
+                          witness_synced{witnesses_[instance].last_number});
 }
 
 void owner::on_witness_ack(const instance_id& from, const witness_ack& ack)
--- a/packages/core/peer_message_type.hpp
+++ b/packages/core/peer_message_type.hpp
@@ -198,6 +198,16 @@
 };
 ROSEMARYDECK_JSON_DECLARE(witness_stored);
 
+/** All records that a holder's new witness needs have been sent. */
+struct witness_synced
+{
+    static constexpr std::string_view name = "witness_synced";
+    std::uint64_t number = 0; ///< Of the last witness_put.
+
+    bool operator==(const witness_synced&) const = default;
+};
+ROSEMARYDECK_JSON_DECLARE(witness_synced);
+
 /** Tells a customer's new owner which keys run here. */
 struct running_notice
 {
@@ -219,6 +229,8 @@
     static constexpr std::string_view name = "seal_notice";
     instance_id lost;
     std::uint64_t view = 0; ///< Hash of the live set that chose the heirs.
+    bool synced = false;    ///< The lost VM had told the sender everything.
+    bool overlap = false;   ///< Another loss was not yet dealt with.
     std::vector<customer_records> entries;
 
     bool operator==(const seal_notice&) const = default;
@@ -271,7 +283,8 @@
 using peer_message =
     std::variant<heartbeat, config_pull, config_push, reserve_request,
                  reserve_reply, settle_request, settle_reply, witness_put,
-                 witness_ack, witness_stored, running_notice, seal_notice,
-                 recall_request, recall_reply, server_notice, goodbye>;
+                 witness_ack, witness_stored, witness_synced, running_notice,
+                 seal_notice, recall_request, recall_reply, server_notice,
+                 goodbye>;
 
 } // namespace rosemarydeck
--- a/packages/core/witness_base.cpp
+++ b/packages/core/witness_base.cpp
@@ -40,6 +40,16 @@
     }
 }
 
+void witness::on_synced(const instance_id& from)
+{
+    synced_.insert(from);
+}
+
+bool witness::synced(const instance_id& holder) const
+{
+    return synced_.find(holder) != synced_.end();
+}
+
 void witness::seal(const instance_id& holder)
 {
     sealed_.insert(holder);
@@ -64,6 +74,7 @@
 void witness::forget(const instance_id& holder)
 {
     holders_.erase(holder);
+    synced_.erase(holder);
 }
 
 void witness::sweep()
--- a/packages/core/witness_base.hpp
+++ b/packages/core/witness_base.hpp
@@ -23,6 +23,10 @@
     void on_put(const instance_id& from, const witness_put& put);
     /** Bills of a holder that the platform has stored. */
     void on_stored(const instance_id& from, const witness_stored& notice);
+    /** A holder has told this VM all that it holds. */
+    void on_synced(const instance_id& from);
+    /** @return True if a holder has ever told this VM all. */
+    [[nodiscard]] bool synced(const instance_id& holder) const;
     /** Takes nothing more from a holder. */
     void seal(const instance_id& holder);
     /** @return All that is kept of a holder. */
@@ -46,6 +50,7 @@
     core_context& context_;
     std::map<instance_id, kept_holder> holders_;
     std::set<instance_id> sealed_;
+    std::set<instance_id> synced_;
 };
 
 } // namespace rosemarydeck
--- a/packages/member/membership_base.cpp
+++ b/packages/member/membership_base.cpp
@@ -166,6 +166,8 @@
     for (const auto& [instance, member] : members_)
         if (member.state == member_state::live)
             live_[member.info.data_centre].push_back(instance);
+    for (auto& [data_centre, instances] : live_)
+        std::sort(instances.begin(), instances.end());
     ++epoch_;
 }
 
