--- a/packages/budget/account_cmd.cpp
+++ b/packages/budget/account_cmd.cpp
@@ -63,7 +63,8 @@
         after.plan_version = wish.plan_version;
     }
     auto& grant = grant_of(after, wish.holder, wish.data_centre);
-    if (wish.used < 0 || wish.used > grant.amount)
+    const bool reverses_too_much = wish.used < -after.settled;
+    if (reverses_too_much || wish.used > grant.amount)
         return fail(error_code::invalid_input, "renew grant",
                     "more was used than was granted");
     if (wish.extra < 0 && grant.amount - wish.used + wish.extra < 0)
--- a/packages/budget/budget_pool_base.cpp
+++ b/packages/budget/budget_pool_base.cpp
@@ -11,7 +11,8 @@
     // Tokens on their way back count as gone from the moment of sending.
     const auto returning =
         renewing_ ? std::max<token_count>(-pending_.extra, 0) : 0;
-    return granted_ - used_ - reserved_ - returning;
+    // What a reversal gives back is spent only once the account shows it.
+    return granted_ - std::max<token_count>(used_, 0) - reserved_ - returning;
 }
 
 bool budget_pool::idle() const
@@ -33,6 +34,11 @@
     used_ += std::clamp<token_count>(spent, 0, amount);
 }
 
+void budget_pool::reverse(token_count spent)
+{
+    used_ -= spent;
+}
+
 void budget_pool::adopt(token_count open)
 {
     granted_ += open;
--- a/packages/budget/budget_pool_base.hpp
+++ b/packages/budget/budget_pool_base.hpp
@@ -46,6 +46,8 @@
     /** Ends a reservation. @param amount What it held. @param spent What of
      * it was spent, at most @p amount. */
     void settle(token_count amount, token_count spent);
+    /** Takes back what was spent. @param spent Tokens that were settled. */
+    void reverse(token_count spent);
     /** Takes over reservations of an adopted grant. */
     void adopt(token_count open);
 
--- a/packages/client/client_list_cmd.cpp
+++ b/packages/client/client_list_cmd.cpp
@@ -292,9 +292,9 @@
     std::map<idempotency_key, bill> bills;
     for (const auto& object : found->objects) {
         const auto batch =
-            nlohmann::json::parse(object.value).get<bill_batch>();
+            parse_batch(object.value);
         for (const auto& entry : batch.bills)
-            if (entry.customer.value() == words[0])
+            if (entry.customer.value() == words[0] && !entry.reversal)
                 bills.emplace(entry.key, entry);
     }
     if (options.json) {
--- a/packages/core/adoption_base.cpp
+++ b/packages/core/adoption_base.cpp
@@ -179,6 +179,13 @@
 {
     if (!complete(vm))
         return;
+    if (!vm.stored) {
+        if (!vm.listing && has_own_task(vm)) {
+            vm.listing = true;
+            list_bills(lost);
+        }
+        return;
+    }
     for (auto& [customer, task] : vm.tasks) {
         if (task.done || task.started ||
             context_.owner_of(customer) != context_.self())
@@ -226,6 +233,37 @@
     start_tasks(grant.holder, vm);
 }
 
+bool adoption_role::has_own_task(const lost_vm& vm) const
+{
+    return std::any_of(vm.tasks.begin(), vm.tasks.end(), [&](const auto& item) {
+        return !item.second.done &&
+               context_.owner_of(item.first) == context_.self();
+    });
+}
+
+void adoption_role::list_bills(const instance_id& lost)
+{
+    context_.platform.call(adoption_purpose{lost, {}},
+                           list_objects{bills_prefix + lost.value() + "/"});
+}
+
+void adoption_role::on_bills_listed(const instance_id& lost, lost_vm& vm,
+                                    const platform_result& result)
+{
+    if (!result) {
+        context_.schedule(context_.backoff(vm.list_failures++),
+                          adoption_timer{lost, {}});
+        return;
+    }
+    vm.stored.emplace();
+    for (const auto& object : result->objects) {
+        const auto batch = parse_batch(object.value);
+        for (const auto& each : batch.bills)
+            vm.stored->insert({each.customer, each.key});
+    }
+    start_tasks(lost, vm);
+}
+
 void adoption_role::read(const instance_id& lost, const customer_id& customer)
 {
     context_.platform.call(adoption_purpose{lost, customer},
@@ -239,13 +277,15 @@
     if (lost == lost_.end())
         return;
     auto& vm = lost->second;
+    if (purpose.customer.empty())
+        return on_bills_listed(purpose.lost, vm, result);
     auto& task = vm.tasks.at(purpose.customer);
     if (!result)
         return retry(purpose.lost, purpose.customer, task);
     const auto& object = result->objects.front();
     const bool is_write = object.value.empty();
     if (is_write)
-        return finish(purpose.lost, task, true);
+        return finish(purpose.lost, vm, task, true);
     write(purpose.lost, purpose.customer, vm, task, object);
 }
 
@@ -262,10 +302,9 @@
         const auto& adopted = before->adopted;
         const bool won = task.wrote && std::find(adopted.begin(), adopted.end(),
                                                  mine) != adopted.end();
-        return finish(lost, task, won);
+        return finish(lost, vm, task, won);
     }
     const auto known = weigh_records(customer, task);
-    task.credit = std::max<token_count>(grant->used_total - known, 0);
     const auto after =
         adopt_grant(*before, {.lost = lost,
                               .heir = context_.self(),
@@ -281,13 +320,17 @@
                                          nlohmann::json(*after).dump()});
 }
 
-void adoption_role::finish(const instance_id& lost, heir_task& task, bool won)
+void adoption_role::finish(const instance_id& lost, lost_vm& vm,
+                           heir_task& task, bool won)
 {
+    for (auto& record : task.found.records)
+        if (vm.stored->count({task.found.customer, record.key}) > 0)
+            record.stored = true;
     task.done = true;
     if (won)
-        owner_.adopt(lost, task.found, task.open, task.credit);
+        owner_.adopt(lost, task.found, task.open);
     else
-        owner_.adopt(lost, task.found, 0, 0);
+        owner_.adopt(lost, task.found, 0);
 }
 
 void adoption_role::retry(const instance_id& lost, const customer_id& customer,
@@ -300,7 +343,11 @@
 void adoption_role::on_timer(const adoption_timer& timer)
 {
     const auto lost = lost_.find(timer.lost);
-    if (lost != lost_.end() && !lost->second.tasks.at(timer.customer).done)
+    if (lost == lost_.end())
+        return;
+    if (timer.customer.empty())
+        list_bills(timer.lost);
+    else if (!lost->second.tasks.at(timer.customer).done)
         read(timer.lost, timer.customer);
 }
 
--- a/packages/core/adoption_base.hpp
+++ b/packages/core/adoption_base.hpp
@@ -52,7 +52,6 @@
         bool wrote = false;
         unsigned failures = 0;
         token_count open = 0;
-        token_count credit = 0;
         std::optional<account> before;
     };
     struct seal_mark
@@ -67,6 +66,10 @@
         bool overlap = false; ///< As this VM saw it when it sealed.
         std::map<instance_id, seal_mark> seals;
         std::map<customer_id, heir_task> tasks;
+        bool listing = false;
+        unsigned list_failures = 0;
+        /** Bills that the lost VM had stored itself, once listed. */
+        std::optional<std::set<customer_key>> stored;
     };
 
     lost_vm& begin(const instance_id& lost);
@@ -79,12 +82,17 @@
     [[nodiscard]] bool exact(const lost_vm& vm) const;
     [[nodiscard]] bool complete(const lost_vm& vm) const;
     void start_tasks(const instance_id& lost, lost_vm& vm);
+    void list_bills(const instance_id& lost);
+    void on_bills_listed(const instance_id& lost, lost_vm& vm,
+                         const platform_result& result);
     void read(const instance_id& lost, const customer_id& customer);
     void write(const instance_id& lost, const customer_id& customer,
                lost_vm& vm, heir_task& task, const platform_object& object);
-    void finish(const instance_id& lost, heir_task& task, bool won);
+    void finish(const instance_id& lost, lost_vm& vm, heir_task& task,
+                bool won);
     void retry(const instance_id& lost, const customer_id& customer,
                heir_task& task);
+    [[nodiscard]] bool has_own_task(const lost_vm& vm) const;
     [[nodiscard]] bool is_ended(const instance_id& holder) const;
 
     core_context& context_;
--- a/packages/core/bill_writer_base.cpp
+++ b/packages/core/bill_writer_base.cpp
@@ -40,7 +40,7 @@
         create_object{batch->name, nlohmann::json(batch->batch).dump()});
 }
 
-void bill_writer::on_answer(const platform_result& result)
+std::vector<bill> bill_writer::on_answer(const platform_result& result)
 {
     writing_ = false;
     // The name is this instance's alone, so "taken" means that an earlier
@@ -50,26 +50,14 @@
     if (!stored) {
         timer_set_ = true;
         context_.schedule(context_.backoff(failures_++), bills_timer{});
-        return;
+        return {};
     }
     failures_ = 0;
     const auto bills = outbox_.confirm();
     context_.record(timeline_kind::bills_stored, {}, {},
                     std::to_string(bills.size()) + " bills");
-    tell_witnesses(bills);
     write();
-}
-
-void bill_writer::tell_witnesses(const std::vector<bill>& stored)
-{
-    std::map<instance_id, witness_stored> notices;
-    for (const auto& entry : stored) {
-        const auto witness = context_.witness_for(entry.customer);
-        if (!witness.empty())
-            notices[witness].keys.push_back({entry.customer, entry.key});
-    }
-    for (auto& [witness, notice] : notices)
-        context_.send(witness, std::move(notice));
+    return bills;
 }
 
 bool bill_writer::backlog_full() const
--- a/packages/core/bill_writer_base.hpp
+++ b/packages/core/bill_writer_base.hpp
@@ -17,8 +17,8 @@
     void add(const bill& entry);
     /** Time to write a batch. */
     void on_timer();
-    /** A batch's platform call is answered. */
-    void on_answer(const platform_result& result);
+    /** A batch's platform call is answered. @return Bills now stored. */
+    std::vector<bill> on_answer(const platform_result& result);
     /** @return Bills not yet stored. */
     [[nodiscard]] std::size_t size() const { return outbox_.size(); }
     /** @return True if no more bills can be kept. */
@@ -26,7 +26,6 @@
 
 private:
     void write();
-    void tell_witnesses(const std::vector<bill>& stored);
 
     core_context& context_;
     bill_outbox outbox_;
--- a/packages/core/core_context_base.cpp
+++ b/packages/core/core_context_base.cpp
@@ -40,7 +40,11 @@
 
 instance_id core_context::owner_of(const customer_id& customer) const
 {
-    return members.ranking(customer.value(), data_centre()).front();
+    const auto ranked = members.ranking(customer.value(), data_centre());
+    // A sealed VM owns nothing any more, whatever it still sees.
+    if (sealed && ranked.size() > 1 && ranked.front() == self())
+        return ranked[1];
+    return ranked.front();
 }
 
 instance_id core_context::witness_for(const customer_id& customer) const
--- a/packages/core/core_context_base.hpp
+++ b/packages/core/core_context_base.hpp
@@ -42,6 +42,7 @@
     platform_caller platform;
     hybrid_clock clock;
     bool draining = false;
+    bool sealed = false; ///< Other VMs took this one for gone.
     std::vector<stale_grant> stale_grants; ///< Seen since the last turn.
 
     /** @return This VM's instance. */
--- a/packages/core/core_json_func.cpp
+++ b/packages/core/core_json_func.cpp
@@ -64,6 +64,12 @@
 
 ROSEMARYDECK_JSON(witness_synced, number)
 
+ROSEMARYDECK_JSON(billed_key, customer, key, at_us)
+
+ROSEMARYDECK_JSON(billed_digest, until, keys)
+
+ROSEMARYDECK_JSON(digest_reply, until, duplicates)
+
 ROSEMARYDECK_JSON(recall_request, customer, wanted)
 
 ROSEMARYDECK_JSON(recall_reply, customer, returned)
--- a/packages/core/decision_core_base.cpp
+++ b/packages/core/decision_core_base.cpp
@@ -32,8 +32,8 @@
 }
 
 decision_core::decision_core(core_options options)
-    : context_(std::move(options)), bills_(context_), owner_(context_, bills_),
-      witness_(context_), dispatcher_(context_),
+    : context_(std::move(options)), bills_(context_), witness_(context_),
+      owner_(context_, bills_, witness_), dispatcher_(context_),
       adoption_(context_, owner_, witness_, dispatcher_), config_sync_(context_)
 {
     context_.schedule(duration{}, heartbeat_timer{});
@@ -51,6 +51,10 @@
     run_pending();
     std::visit([this](const auto& one) { on_event(one); }, event);
     run_pending();
+    if (context_.sealed && !context_.draining) {
+        on_event(drain_self{});
+        run_pending();
+    }
     check_drained();
     for (auto& call : context_.platform.take_ready())
         context_.act(std::move(call));
@@ -180,7 +184,7 @@
             },
             [&](const settle_request& one) { owner_.on_settle(from, one); },
             [&](const settle_reply& one) {
-                owner_.on_orphan_taken(one);
+                owner_.on_orphan_taken(from, one);
                 dispatcher_.on_settle_reply(one);
             },
             [&](const witness_put& one) { witness_.on_put(from, one); },
@@ -191,6 +195,8 @@
             [&](const seal_notice& one) { adoption_.on_seal(from, one); },
             [&](const recall_request& one) { owner_.on_recall(from, one); },
             [&](const recall_reply& one) { owner_.on_recall_reply(one); },
+            [&](const billed_digest& one) { owner_.on_digest(from, one); },
+            [&](const digest_reply& one) { owner_.on_digest_reply(from, one); },
             [&](const server_notice& one) {
                 context_.servers.mark_leaving(one.server);
             },
@@ -218,6 +224,7 @@
                 beat();
                 on_member_changes(context_.members.tick(context_.now));
                 retire_unlisted();
+                owner_.send_digests();
                 dispatcher_.pump_all();
                 context_.schedule(context_.options.heartbeat,
                                   heartbeat_timer{});
@@ -249,7 +256,9 @@
     std::visit(overload{[&](const claim_purpose& one) {
                             dispatcher_.on_claim_answer(one.id, result);
                         },
-                        [&](const bills_purpose&) { bills_.on_answer(result); },
+                        [&](const bills_purpose&) {
+                            owner_.on_stored(bills_.on_answer(result));
+                        },
                         [&](const renewal_purpose& one) {
                             owner_.on_renewal_answer(one.customer, result);
                         },
--- a/packages/core/decision_core_base.hpp
+++ b/packages/core/decision_core_base.hpp
@@ -99,8 +99,8 @@
 
     core_context context_;
     bill_writer bills_;
-    owner owner_;
     witness witness_;
+    owner owner_;
     dispatcher dispatcher_;
     adoption_role adoption_;
     config_sync config_sync_;
--- a/packages/core/dispatcher_attempt.cpp
+++ b/packages/core/dispatcher_attempt.cpp
@@ -179,9 +179,11 @@
 
 void dispatcher::send_settlement(open_request& open)
 {
-    const auto to = context_.members.is_live(open.holder)
-                        ? open.holder
-                        : context_.owner_of(open.customer);
+    const bool held_here = open.holder == context_.self();
+    const auto to =
+        context_.members.is_live(open.holder) && !(held_here && context_.sealed)
+            ? open.holder
+            : context_.owner_of(open.customer);
     context_.send(to, settle_request{open.holder, open.customer, open.ended});
     context_.schedule(context_.options.resend_after,
                       request_timer{open.request.id});
--- a/packages/core/owner_base.cpp
+++ b/packages/core/owner_base.cpp
@@ -2,6 +2,7 @@
 #include "core/owner_base.hpp"
 
 #include "core/bill_writer_base.hpp"
+#include "core/witness_base.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -24,8 +25,8 @@
 
 } // namespace
 
-owner::owner(core_context& context, bill_writer& bills)
-    : context_(context), bills_(bills)
+owner::owner(core_context& context, bill_writer& bills, const witness& kept)
+    : context_(context), bills_(bills), kept_(kept)
 {
 }
 
@@ -39,7 +40,7 @@
     auto& state = customer_of(request.customer);
     if (answer_known(state, from, request))
         return;
-    if (sealed_ || bills_.backlog_full())
+    if (context_.sealed || bills_.backlog_full())
         return reply(from, request, reserve_outcome::unavailable);
     if (!within_limits(state, request))
         return reply(from, request, reserve_outcome::over_limit);
@@ -53,7 +54,7 @@
     const auto found = state.keys.find(request.key);
     if (found == state.keys.end() ||
         found->second.record.state == key_state::released)
-        return false;
+        return answer_from_witness(from, request);
     auto& entry = found->second;
     const auto& record = entry.record;
     const bool runner_lives = context_.members.is_live(record.runner);
@@ -76,6 +77,28 @@
     return true;
 }
 
+bool owner::answer_from_witness(const instance_id& from,
+                                const reserve_request& request)
+{
+    // This VM may have become the owner before the lost one is known to be
+    // gone; what that one told its witness counts already.
+    const auto* record = kept_.find(request.customer, request.key);
+    if (record == nullptr || record->state == key_state::released)
+        return false;
+    const bool runner_lives = context_.members.is_live(record->runner);
+    if (record->fingerprint != request.fingerprint)
+        reply(from, request, reserve_outcome::key_conflict);
+    else if (record->state == key_state::finished)
+        reply(from, request,
+              runner_lives ? reserve_outcome::finished : reserve_outcome::rerun,
+              record->runner);
+    else if (runner_lives && record->runner != from)
+        reply(from, request, reserve_outcome::running, record->runner);
+    else
+        return false;
+    return true;
+}
+
 void owner::take_over(owned_customer& state, owned_key& entry,
                       const instance_id& from, const reserve_request& request)
 {
@@ -214,8 +237,7 @@
         !is_own && request.holder != context_.self() && !request.holder.empty();
     if (on_other_grant)
         return settle_orphan(from, state, request);
-    if (is_own && found->second.witness == witness_state::waiting &&
-        from == context_.self())
+    if (is_own && !found->second.answered)
         return; // Answered when the witness has it.
     context_.send(from, settle_reply{request.customer, request.record.key,
                                      request.record.id});
@@ -225,28 +247,34 @@
                        owned_key& entry, const key_record& ended)
 {
     auto& record = entry.record;
-    const auto net =
-        ended.state == key_state::finished ? ended.charge.net() : 0;
-    const auto credit = std::min(net, state.settled_credit);
-    state.settled_credit -= credit;
-    state.pool.settle(record.amount, net - credit);
-    state.used_total += std::min(net - credit, record.amount);
     record.state = ended.state;
     record.charge = ended.charge;
     entry.ended = context_.now;
     entry.answered = false;
     --state.running;
-    count_demand(state, net);
     if (record.state == key_state::finished)
-        bills_.add(record.charge);
-    const auto runner = record.runner;
-    const auto reply_key = record.key;
-    const auto reply_id = record.id;
-    replicate(customer, state, {reply_key});
-    if (runner != context_.self())
-        context_.send(runner, settle_reply{customer, reply_key, reply_id});
+        state.promised_total += record.charge.net();
+    // Nothing is booked or answered before the witness has it too, so that
+    // no heir can find less than what was booked.
+    replicate(customer, state, {record.key});
     want_renewal(customer, state, context_.options.renew_every);
-    serve_waiting(state);
+}
+
+void owner::book(owned_customer& state, owned_key& entry)
+{
+    if (entry.booked || entry.record.state == key_state::running)
+        return;
+    entry.booked = true;
+    const auto& record = entry.record;
+    const bool finished = record.state == key_state::finished;
+    const auto net = finished ? record.charge.net() : 0;
+    state.pool.settle(record.amount, net);
+    count_demand(state, net);
+    if (!finished)
+        return;
+    bills_.add(record.charge);
+    billed_log_.push_back(
+        {record.charge.customer, record.key, record.charge.at_us});
 }
 
 void owner::count_demand(owned_customer& state, token_count spent)
@@ -309,12 +337,15 @@
     }
 }
 
-void owner::on_orphan_taken(const settle_reply& reply)
+void owner::on_orphan_taken(const instance_id& from, const settle_reply& reply)
 {
     const auto found = orphans_.find(reply.customer);
     if (found == orphans_.end())
         return;
-    found->second.erase(reply.key);
+    const auto orphan = found->second.find(reply.key);
+    if (orphan == found->second.end() || orphan->second != from)
+        return;
+    found->second.erase(orphan);
     if (found->second.empty())
         orphans_.erase(found);
 }
@@ -336,6 +367,11 @@
 void owner::sweep()
 {
     const auto window = context_.options.key_window;
+    const auto oldest = to_microseconds(context_.now - window);
+    while (!billed_log_.empty() && billed_log_.front().at_us < oldest) {
+        billed_log_.pop_front();
+        ++log_start_;
+    }
     for (auto at = customers_.begin(); at != customers_.end();) {
         auto& state = at->second;
         std::erase_if(state.keys, [&](const auto& item) {
--- a/packages/core/owner_base.hpp
+++ b/packages/core/owner_base.hpp
@@ -15,6 +15,7 @@
 {
 
 class bill_writer;
+class witness;
 
 /**
  * Holds this VM's grants, reserves tokens on them for the data centre's
@@ -25,7 +26,7 @@
 class owner
 {
 public:
-    owner(core_context& context, bill_writer& bills);
+    owner(core_context& context, bill_writer& bills, const witness& kept);
 
     /** A request wants a reservation. */
     void on_reserve(const instance_id& from, const reserve_request& request);
@@ -44,7 +45,7 @@
     /** A member is connected: hands it what was settled in its absence. */
     void on_member_up(const instance_id& instance);
     /** The settlement of an orphan has been taken by its holder. */
-    void on_orphan_taken(const settle_reply& reply);
+    void on_orphan_taken(const instance_id& from, const settle_reply& reply);
     /** A renewal's platform call is answered. */
     void on_renewal_answer(const customer_id& customer,
                            const platform_result& result);
@@ -56,7 +57,15 @@
     void sweep();
     /** Takes over a lost holder's records once its grant is adopted. */
     void adopt(const instance_id& lost, const customer_records& found,
-               token_count open, token_count already_settled);
+               token_count open);
+    /** Tells owners elsewhere which keys were billed here. */
+    void send_digests();
+    /** Another owner's billed keys: finds those billed here too. */
+    void on_digest(const instance_id& from, const billed_digest& digest);
+    /** Another owner has compared; its duplicates are reversed here. */
+    void on_digest_reply(const instance_id& from, const digest_reply& reply);
+    /** Bills that the platform has stored. */
+    void on_stored(const std::vector<bill>& stored);
     /** Gives every grant back as far as it is free. */
     void begin_drain();
     /** @return True if no grant is held any more. */
@@ -89,6 +98,9 @@
         instance_id holder; ///< Whose grant it is on.
         witness_state witness = witness_state::waiting;
         bool answered = false; ///< The runner knows of the newest state.
+        bool booked = false;   ///< The end is counted in the pool.
+        bool reversed = false; ///< Billed elsewhere before.
+        bool adopted = false;  ///< Billed by a lost holder.
         time_point ended;
     };
     struct waiting_reserve
@@ -108,8 +120,8 @@
         budget_pool pool;
         std::unordered_map<idempotency_key, owned_key> keys;
         std::deque<waiting_reserve> waiting;
-        token_count used_total = 0;
-        token_count settled_credit = 0; ///< Of adopted keys, booked before.
+        /** Net of all finished keys, also those not yet at the witness. */
+        token_count promised_total = 0;
         std::int64_t running = 0;
         double demand = 0; ///< Tokens a second, smoothed.
         time_point demand_at;
@@ -122,6 +134,8 @@
         object_version account_version = 0;
         unsigned failures = 0;
         bool timer_set = false;
+        bool marked_alone = false;  ///< By the last confirmed renewal.
+        bool marking_alone = false; ///< By the renewal in flight.
         bool waiting_timer_set = false;
         time_point exhausted_until;
         time_point recalled_until;
@@ -143,6 +157,8 @@
     owned_customer& customer_of(const customer_id& customer);
     bool answer_known(owned_customer& state, const instance_id& from,
                       const reserve_request& request);
+    bool answer_from_witness(const instance_id& from,
+                             const reserve_request& request);
     void take_over(owned_customer& state, owned_key& entry,
                    const instance_id& from, const reserve_request& request);
     bool within_limits(owned_customer& state, const reserve_request& request);
@@ -154,6 +170,7 @@
     void refuse_waiting(owned_customer& state, reserve_outcome outcome);
     void settle_own(const customer_id& customer, owned_customer& state,
                     owned_key& entry, const key_record& ended);
+    void book(owned_customer& state, owned_key& entry);
     void settle_orphan(const instance_id& from, owned_customer& state,
                        const settle_request& request);
     void replicate(const customer_id& customer, owned_customer& state,
@@ -161,7 +178,12 @@
     void resync(const customer_id& customer, owned_customer& state);
     bool adopt_record(const instance_id& lost, const customer_id& customer,
                       owned_customer& state, const key_record& record);
-    void answer(const customer_id& customer, owned_key& entry);
+    void reverse(const customer_id& customer, const idempotency_key& key);
+    [[nodiscard]] bool is_charged(const owned_key& entry) const;
+    [[nodiscard]] bool may_own(const instance_id& instance,
+                               const customer_id& customer) const;
+    void answer(const customer_id& customer, owned_customer& state,
+                owned_key& entry);
     void reply(const instance_id& to, const reserve_request& request,
                reserve_outcome outcome, const instance_id& runner = {});
     void count_demand(owned_customer& state, token_count spent);
@@ -190,10 +212,14 @@
 
     core_context& context_;
     bill_writer& bills_;
+    const witness& kept_;
     std::unordered_map<customer_id, owned_customer> customers_;
+    /** Keys billed here, oldest first; the first has number log_start_. */
+    std::deque<billed_key> billed_log_;
+    std::uint64_t log_start_ = 0;
+    std::map<instance_id, std::uint64_t> digest_cursors_;
     std::map<instance_id, witness_link> witnesses_;
     std::map<customer_id, std::map<idempotency_key, instance_id>> orphans_;
-    bool sealed_ = false;
 };
 
 } // namespace rosemarydeck
--- a/packages/core/owner_renew.cpp
+++ b/packages/core/owner_renew.cpp
@@ -63,10 +63,9 @@
         return read_account(customer, state);
     if (!state.pool.renewing()) {
         const auto extra = wanted_extra(customer, state);
-        const bool settles = state.pool.used() > 0;
+        const bool settles = state.pool.used() != 0;
         const bool alone = context_.witness_for(customer).empty();
-        const bool marks =
-            alone && state.pool.solo_limit() < state.pool.granted();
+        const bool marks = alone != state.marked_alone;
         if (extra == 0 && !settles && !marks)
             return after_renewal(customer, state);
         state.pool.begin_renewal(extra);
@@ -86,7 +85,7 @@
                                 const owned_customer& state) const
 {
     const auto available = state.pool.available();
-    if (context_.draining || sealed_)
+    if (context_.draining || context_.sealed)
         return -available;
     if (state.give_back > 0)
         return -std::min(state.give_back, available);
@@ -156,6 +155,7 @@
                             context_.backoff(state.failures++));
     }
     state.step = renewal_step::writing;
+    state.marking_alone = context_.witness_for(customer).empty();
     state.got = next->extra;
     state.solo = find_grant(next->after, context_.self())->solo;
     state.account_value = next->after;
@@ -243,6 +243,7 @@
 {
     const auto settled = state.pool.pending().used;
     state.pool.confirm_renewal(got, solo);
+    state.marked_alone = state.marking_alone;
     state.failures = 0;
     const auto kind =
         got < 0 ? timeline_kind::grant_returned : timeline_kind::grant_drawn;
@@ -343,11 +344,13 @@
 
 bool owner::drained() const
 {
-    return std::all_of(
-        customers_.begin(), customers_.end(), [](const auto& item) {
-            const auto& pool = item.second.pool;
-            return pool.granted() == 0 && pool.used() == 0 && !pool.renewing();
-        });
+    return context_.sealed ||
+           std::all_of(customers_.begin(), customers_.end(),
+                       [](const auto& item) {
+                           const auto& pool = item.second.pool;
+                           return pool.granted() == 0 && pool.used() == 0 &&
+                                  !pool.renewing();
+                       });
 }
 
 } // namespace rosemarydeck
--- a/packages/core/owner_witness.cpp
+++ b/packages/core/owner_witness.cpp
@@ -14,13 +14,13 @@
         for (const auto& key : keys) {
             auto& entry = state.keys.at(key);
             entry.witness = witness_state::solo;
-            answer(customer, entry);
+            answer(customer, state, entry);
         }
         return;
     }
     auto& link = witnesses_[witness];
     const auto number = ++link.last_number;
-    witness_put put{number, {customer, state.used_total, true, {}}};
+    witness_put put{number, {customer, state.promised_total, true, {}}};
     for (const auto& key : keys) {
         auto& entry = state.keys.at(key);
         entry.witness = witness_state::waiting;
@@ -49,8 +49,10 @@
             link.sent.clear();
     for (auto& [customer, state] : customers_) {
         resync(customer, state);
-        // Alone, the grant has to be marked so before more of it is spent.
-        if (context_.witness_for(customer).empty())
+        // Alone, the grant has to be marked so before more of it is spent;
+        // with a witness again, less of it is in doubt if this VM is lost.
+        const bool alone = context_.witness_for(customer).empty();
+        if (alone != state.marked_alone && state.pool.granted() > 0)
             want_renewal(customer, state, duration{});
     }
     for (const auto& instance :
@@ -69,10 +71,10 @@
     const auto sent = std::move(found->second);
     link.sent.erase(found);
     if (ack.sealed) {
-        if (!sealed_)
+        if (!context_.sealed)
             context_.record(timeline_kind::grant_sealed, sent.customer, {},
                             "this VM was taken for gone by " + from.value());
-        sealed_ = true;
+        context_.sealed = true;
         return;
     }
     const auto customer = customers_.find(sent.customer);
@@ -83,31 +85,62 @@
         if (entry == customer->second.keys.end())
             continue;
         entry->second.witness = witness_state::held;
-        answer(sent.customer, entry->second);
+        answer(sent.customer, customer->second, entry->second);
     }
 }
 
-void owner::answer(const customer_id& customer, owned_key& entry)
+void owner::answer(const customer_id& customer, owned_customer& state,
+                   owned_key& entry)
 {
     if (entry.answered || entry.holder != context_.self())
         return;
     entry.answered = true;
+    book(state, entry);
     const auto& record = entry.record;
     if (record.state == key_state::running)
         context_.send(record.runner,
                       reserve_reply{record.id, reserve_outcome::reserved,
                                     context_.self(), record.runner, 0});
-    else if (record.runner == context_.self())
+    else
         context_.send(record.runner,
                       settle_reply{customer, record.key, record.id});
+    if (record.state != key_state::running)
+        serve_waiting(state);
+}
+
+void owner::on_stored(const std::vector<bill>& stored)
+{
+    std::map<instance_id, witness_stored> notices;
+    for (const auto& each : stored) {
+        const auto state = customers_.find(each.customer);
+        if (state == customers_.end())
+            continue;
+        const auto entry = state->second.keys.find(each.key);
+        if (entry == state->second.keys.end())
+            continue;
+        entry->second.record.stored = true;
+        const auto witness = context_.witness_for(each.customer);
+        if (!witness.empty())
+            notices[witness].keys.push_back({each.customer, each.key});
+    }
+    for (auto& [witness, notice] : notices)
+        context_.send(witness, std::move(notice));
 }
 
 bool owner::adopt_record(const instance_id& lost, const customer_id& customer,
                          owned_customer& state, const key_record& record)
 {
     const auto known = state.keys.find(record.key);
-    if (known != state.keys.end() && known->second.holder == context_.self())
+    if (known != state.keys.end() && known->second.holder == context_.self()) {
+        // Billed on both grants; the lost one's account can't be changed.
+        if (record.state == key_state::finished) {
+            if (!record.stored)
+                bills_.add(record.charge);
+            if (known->second.record.state == key_state::finished)
+                reverse(customer, record.key);
+        }
         return false;
+    }
     if (record.state == key_state::finished && !record.stored)
         bills_.add(record.charge);
     // A runner may have reported the end while the grant was being adopted.
@@ -120,6 +153,11 @@
     entry.holder = lost;
     entry.answered = true;
     entry.ended = context_.now;
+    if (record.state == key_state::finished) {
+        entry.adopted = true;
+        entry.booked = true;
+        billed_log_.push_back({customer, record.key, record.charge.at_us});
+    }
     if (record.state != key_state::running)
         return false;
     entry.holder = context_.self();
@@ -130,11 +168,10 @@
 }
 
 void owner::adopt(const instance_id& lost, const customer_records& found,
-                  token_count open, token_count already_settled)
+                  token_count open)
 {
     auto& state = customer_of(found.customer);
     state.pool.adopt(open);
-    state.settled_credit += already_settled;
     std::vector<idempotency_key> adopted;
     for (const auto& record : found.records)
         if (adopt_record(lost, found.customer, state, record))
--- a/packages/core/peer_message_type.hpp
+++ b/packages/core/peer_message_type.hpp
@@ -237,6 +237,40 @@
 };
 ROSEMARYDECK_JSON_DECLARE(seal_notice);
 
+/** One key that its sender has billed. */
+struct billed_key
+{
+    customer_id customer;
+    idempotency_key key;
+    std::int64_t at_us = 0; ///< When it was billed.
+
+    bool operator==(const billed_key&) const = default;
+};
+ROSEMARYDECK_JSON_DECLARE(billed_key);
+
+/** Keys billed by an owner, for owners that it may not have seen. */
+struct billed_digest
+{
+    static constexpr std::string_view name = "billed_digest";
+    std::uint64_t until = 0; ///< Place in the sender's list after these.
+    std::vector<billed_key> keys;
+
+    bool operator==(const billed_digest&) const = default;
+};
+ROSEMARYDECK_JSON_DECLARE(billed_digest);
+
+/** The receiver of a digest has compared it, and names the sender's keys
+ * that it had billed before. */
+struct digest_reply
+{
+    static constexpr std::string_view name = "digest_reply";
+    std::uint64_t until = 0;
+    std::vector<customer_key> duplicates;
+
+    bool operator==(const digest_reply&) const = default;
+};
+ROSEMARYDECK_JSON_DECLARE(digest_reply);
+
 /** Asks another data centre's owner to give back what it does not need. */
 struct recall_request
 {
@@ -284,7 +318,7 @@
     std::variant<heartbeat, config_pull, config_push, reserve_request,
                  reserve_reply, settle_request, settle_reply, witness_put,
                  witness_ack, witness_stored, witness_synced, running_notice,
-                 seal_notice, recall_request, recall_reply, server_notice,
-                 goodbye>;
+                 seal_notice, recall_request, recall_reply, billed_digest,
+                 digest_reply, server_notice, goodbye>;
 
 } // namespace rosemarydeck
--- a/packages/core/witness_base.cpp
+++ b/packages/core/witness_base.cpp
@@ -50,6 +50,23 @@
     return synced_.find(holder) != synced_.end();
 }
 
+const key_record* witness::find(const customer_id& customer,
+                                const idempotency_key& key) const
+{
+    const key_record* best = nullptr;
+    for (const auto& [holder, customers] : holders_) {
+        const auto kept = customers.find(customer);
+        if (kept == customers.end())
+            continue;
+        const auto record = kept->second.records.find(key);
+        if (record == kept->second.records.end())
+            continue;
+        if (best == nullptr || record->second.state == key_state::finished)
+            best = &record->second;
+    }
+    return best;
+}
+
 void witness::seal(const instance_id& holder)
 {
     sealed_.insert(holder);
--- a/packages/core/witness_base.hpp
+++ b/packages/core/witness_base.hpp
@@ -27,6 +27,9 @@
     void on_synced(const instance_id& from);
     /** @return True if a holder has ever told this VM all. */
     [[nodiscard]] bool synced(const instance_id& holder) const;
+    /** @return What any holder has told of a key, or null. */
+    [[nodiscard]] const key_record* find(const customer_id& customer,
+                                         const idempotency_key& key) const;
     /** Takes nothing more from a holder. */
     void seal(const instance_id& holder);
     /** @return All that is kept of a holder. */
--- a/packages/request/bill_outbox_base.cpp
+++ b/packages/request/bill_outbox_base.cpp
@@ -2,6 +2,7 @@
 #include "request/bill_outbox_base.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace rosemarydeck
 {
@@ -14,6 +15,16 @@
 
 } // namespace
 
+bill_batch parse_batch(const std::string& text)
+{
+    try {
+        return nlohmann::json::parse(text).get<bill_batch>();
+    }
+    catch (const nlohmann::json::exception&) {
+        return {};
+    }
+}
+
 bill_outbox::bill_outbox(std::string prefix) : prefix_(std::move(prefix)) {}
 
 void bill_outbox::add(bill entry)
--- a/packages/request/bill_type.hpp
+++ b/packages/request/bill_type.hpp
@@ -44,9 +44,14 @@
     token_count refunded = 0; ///< Given back because the answer was late.
     answer_timing timing;
     std::int64_t at_us = 0; ///< Microseconds since the Unix epoch.
+    /** Takes back the charge of an equal bill: the key was billed twice. */
+    bool reversal = false;
 
     /** @return What the request costs the customer in the end. */
-    [[nodiscard]] token_count net() const { return charged - refunded; }
+    [[nodiscard]] token_count net() const
+    {
+        return reversal ? refunded - charged : charged - refunded;
+    }
     bool operator==(const bill&) const = default;
 };
 ROSEMARYDECK_JSON_DECLARE(bill);
@@ -60,6 +65,9 @@
 };
 ROSEMARYDECK_JSON_DECLARE(bill_batch);
 
+/** @return The batch in a JSON text; an empty one if it is malformed. */
+bill_batch parse_batch(const std::string& text);
+
 inline const std::string bills_prefix = "bills/";
 
 } // namespace rosemarydeck
--- a/packages/timeline/timeline_type.hpp
+++ b/packages/timeline/timeline_type.hpp
@@ -28,6 +28,7 @@
     grant_adopted,
     budget_exhausted,
     bills_stored,
+    bill_reversed,
     claim_taken,
     config_in_force,
     config_rejected,
--- a/tests/support/core_bag.cpp
+++ b/tests/support/core_bag.cpp
@@ -254,29 +254,31 @@
 
 void core_bag::act(std::size_t vm, const core_action& action)
 {
-    std::visit(overload{[&](const send_peer& one) { deliver(vm, one); },
-                        [&](const call_platform& one) { call(vm, one); },
-                        [&](const dispatch_attempt& one) { dispatch(vm, one); },
-                        [&](const finish_request& one) {
-                            if (auto* caller = caller_of(vm, one.id))
-                                caller->finished = now_;
-                        },
-                        [&](const refuse_request& one) {
-                            if (auto* caller = caller_of(vm, one.id))
-                                caller->refused = one;
-                        },
-                        [&](const join_request& one) {
-                            if (auto* caller = caller_of(vm, one.id))
-                                caller->joined = one.original;
-                        },
-                        [&](const relay_request& one) {
-                            if (auto* caller = caller_of(vm, one.id))
-                                caller->relayed = true;
-                            (void)one;
-                        },
-                        [&](const drained&) { vms_[vm].drained = true; },
-                        [](const auto&) {}},
-               action);
+    std::visit(
+        overload{[&](const send_peer& one) { deliver(vm, one); },
+                 [&](const call_platform& one) { call(vm, one); },
+                 [&](const dispatch_attempt& one) { dispatch(vm, one); },
+                 [&](const finish_request& one) {
+                     if (auto* caller = caller_of(vm, one.id))
+                         caller->finished = now_;
+                 },
+                 [&](const refuse_request& one) {
+                     if (auto* caller = caller_of(vm, one.id))
+                         caller->refused = one;
+                 },
+                 [&](const join_request& one) {
+                     if (auto* caller = caller_of(vm, one.id))
+                         caller->joined = one.original;
+                 },
+                 [&](const relay_request& one) {
+                     if (auto* caller = caller_of(vm, one.id))
+                         caller->relayed = true;
+                     (void)one;
+                 },
+                 [&](const record_event& one) { events_.push_back(one.event); },
+                 [&](const drained&) { vms_[vm].drained = true; },
+                 [](const auto&) {}},
+        action);
 }
 
 void core_bag::deliver(std::size_t from, const send_peer& action)
@@ -422,11 +424,21 @@
     std::vector<bill> all;
     const auto found = store_.apply(list_objects{bills_prefix});
     for (const auto& object : found->objects) {
-        const auto batch =
-            nlohmann::json::parse(object.value).get<bill_batch>();
+        const auto batch = parse_batch(object.value);
         all.insert(all.end(), batch.bills.begin(), batch.bills.end());
     }
     return all;
 }
 
+std::vector<std::string> core_bag::batches_with(const idempotency_key& key)
+{
+    std::vector<std::string> names;
+    const auto found = store_.apply(list_objects{bills_prefix});
+    for (const auto& object : found->objects)
+        for (const auto& each : parse_batch(object.value).bills)
+            if (each.key == key)
+                names.push_back(object.name);
+    return names;
+}
+
 } // namespace rosemarydeck::bag
--- a/tests/support/core_bag.hpp
+++ b/tests/support/core_bag.hpp
@@ -107,6 +107,13 @@
     [[nodiscard]] account account_of(const std::string& customer);
     /** @return Every stored bill, also a key's second one. */
     [[nodiscard]] std::vector<bill> bills();
+    [[nodiscard]] const std::vector<timeline_event>& events() const
+    {
+        return events_;
+    }
+    /** @return Names of the batches that hold a key's bill. */
+    [[nodiscard]] std::vector<std::string>
+    batches_with(const idempotency_key& key);
     [[nodiscard]] std::uint64_t platform_writes() const { return writes_; }
     [[nodiscard]] std::uint64_t platform_reads() const { return reads_; }
     /** @return A number from 0 to limit - 1. */
@@ -150,6 +157,7 @@
     std::map<std::pair<std::size_t, request_id>, std::size_t> caller_index_;
     std::map<customer_key, run_record> runs_;
     std::map<std::pair<std::size_t, request_id>, caller_request> requests_;
+    std::vector<timeline_event> events_;
     std::uint64_t next_request_ = 0;
     std::uint64_t starts_ = 0;
     std::uint64_t writes_ = 0;
