Find keys billed in two data centres, also behind a change of owner

Cause: a key retried in another data centre, or across a split of three VMs, was billed twice when the owners of then and now differ. Change: digests go to all VMs that were apart from the sender when the key was billed; a receiver that only holds the record as a witness passes it on.

--- a/packages/core/adoption_base.cpp
+++ b/packages/core/adoption_base.cpp
@@ -359,7 +359,7 @@
             record.stored = true;
     for (auto& record : task.found.records)
         if (vm.reversed->count({task.found.customer, record.key}) > 0)
-            record.reversal_stored = true;
+            record.reversed = record.reversal_stored = true;
     task.done = true;
     if (won)
         owner_.adopt(lost, task.found, task.open, true);
--- a/packages/core/core_json_func.cpp
+++ b/packages/core/core_json_func.cpp
@@ -66,7 +66,7 @@
 
 ROSEMARYDECK_JSON(billed_key, customer, key, at_us)
 
-ROSEMARYDECK_JSON(billed_digest, until, keys)
+ROSEMARYDECK_JSON(billed_digest, until, origin, keys)
 
 ROSEMARYDECK_JSON(digest_reply, until, duplicates)
 
--- a/packages/core/owner_base.cpp
+++ b/packages/core/owner_base.cpp
@@ -275,7 +275,7 @@
         return;
     bills_.add(record.charge);
     billed_log_.push_back(
-        {record.charge.customer, record.key, record.charge.at_us});
+        {{record.charge.customer, record.key, record.charge.at_us}, false});
 }
 
 void owner::count_demand(owned_customer& state, token_count spent)
@@ -327,6 +327,8 @@
 
 void owner::on_member_up(const instance_id& instance)
 {
+    up_since_[instance] = context_.now;
+    digest_cursors_.erase(instance);
     for (const auto& [customer, keys] : orphans_) {
         const auto& state = customer_of(customer);
         for (const auto& [key, holder] : keys) {
@@ -369,7 +371,7 @@
 {
     const auto window = context_.options.key_window;
     const auto oldest = to_microseconds(context_.now - window);
-    while (!billed_log_.empty() && billed_log_.front().at_us < oldest) {
+    while (!billed_log_.empty() && billed_log_.front().billed.at_us < oldest) {
         billed_log_.pop_front();
         ++log_start_;
     }
--- a/packages/core/owner_base.hpp
+++ b/packages/core/owner_base.hpp
@@ -142,6 +142,11 @@
         token_count give_back = 0;
         instance_id recall_from;
     };
+    struct logged_key
+    {
+        billed_key billed;
+        bool adopted = false;
+    };
     struct sent_records
     {
         customer_id customer;
@@ -181,9 +186,12 @@
     void note_record(const instance_id& lost, owned_customer& state,
                      const key_record& record);
     void reverse(const customer_id& customer, const idempotency_key& key);
+    static const owned_key* find_key(const owned_customer& state,
+                                     const idempotency_key& key);
+    void pass_on(const instance_id& origin, const billed_key& theirs);
     [[nodiscard]] bool is_charged(const owned_key& entry) const;
-    [[nodiscard]] bool may_own(const instance_id& instance,
-                               const customer_id& customer) const;
+    [[nodiscard]] bool may_share(const member_info& member,
+                                 const logged_key& entry) const;
     void answer(const customer_id& customer, owned_customer& state,
                 owned_key& entry);
     void reply(const instance_id& to, const reserve_request& request,
@@ -217,9 +225,10 @@
     const witness& kept_;
     std::unordered_map<customer_id, owned_customer> customers_;
     /** Keys billed here, oldest first; the first has number log_start_. */
-    std::deque<billed_key> billed_log_;
+    std::deque<logged_key> billed_log_;
     std::uint64_t log_start_ = 0;
     std::map<instance_id, std::uint64_t> digest_cursors_;
+    std::map<instance_id, time_point> up_since_;
     std::map<instance_id, witness_link> witnesses_;
     std::map<customer_id, std::map<idempotency_key, instance_id>> orphans_;
 };
--- a/packages/core/owner_duplicate.cpp
+++ b/packages/core/owner_duplicate.cpp
@@ -2,6 +2,7 @@
 #include "core/owner_base.hpp"
 
 #include "core/bill_writer_base.hpp"
+#include "core/witness_base.hpp"
 
 #include <algorithm>
 
@@ -24,16 +25,19 @@
 
 } // namespace
 
-bool owner::may_own(const instance_id& instance,
-                    const customer_id& customer) const
+bool owner::may_share(const member_info& member, const logged_key& entry) const
 {
-    const auto* member = context_.members.find(instance);
-    const auto ranked =
-        context_.members.ranking(customer.value(), member->data_centre);
-    // In this data centre, an owner of the time of a cut is next in order.
-    const auto count = std::min<std::size_t>(ranked.size(), 2);
-    return std::find(ranked.begin(), ranked.begin() + std::ptrdiff_t(count),
-                     instance) != ranked.begin() + std::ptrdiff_t(count);
+    // Here, two VMs bill the same key only if they did not see each other
+    // then; elsewhere, the owner may have billed a retry at any time.
+    const bool is_here = member.data_centre == context_.data_centre();
+    const auto up = up_since_.find(member.instance);
+    const bool was_apart = up == up_since_.end() ||
+                           entry.billed.at_us < to_microseconds(up->second);
+    if (is_here)
+        return was_apart || entry.adopted;
+    const auto ranked = context_.members.ranking(entry.billed.customer.value(),
+                                                 member.data_centre);
+    return was_apart || ranked.front() == member.instance;
 }
 
 bool owner::is_charged(const owned_key& entry) const
@@ -51,12 +55,12 @@
         const auto end = log_start_ + billed_log_.size();
         if (cursor == end)
             continue;
-        billed_digest digest{cursor, {}};
+        billed_digest digest{cursor, {}, {}};
         for (; digest.until < end && digest.keys.size() < max_digest_keys;
              ++digest.until) {
             const auto& entry = billed_log_[digest.until - log_start_];
-            if (may_own(member.instance, entry.customer))
-                digest.keys.push_back(entry);
+            if (may_share(member, entry))
+                digest.keys.push_back(entry.billed);
         }
         if (digest.keys.empty())
             cursor = digest.until;
@@ -67,22 +71,44 @@
 
 void owner::on_digest(const instance_id& from, const billed_digest& digest)
 {
-    digest_reply reply{digest.until, {}};
+    const auto& origin = digest.origin.empty() ? from : digest.origin;
+    digest_reply reply{digest.origin.empty() ? digest.until : 0, {}};
     for (const auto& theirs : digest.keys) {
         const auto state = customers_.find(theirs.customer);
-        if (state == customers_.end())
-            continue;
-        const auto found = state->second.keys.find(theirs.key);
-        if (found == state->second.keys.end() || !is_charged(found->second))
+        const auto* entry = state == customers_.end()
+                                ? nullptr
+                                : find_key(state->second, theirs.key);
+        if (entry == nullptr || !is_charged(*entry)) {
+            pass_on(origin, theirs);
             continue;
+        }
         const billed_key ours{theirs.customer, theirs.key,
-                              found->second.record.charge.at_us};
-        if (stands_before(ours, context_.self(), theirs, from))
+                              entry->record.charge.at_us};
+        if (stands_before(ours, context_.self(), theirs, origin))
             reply.duplicates.push_back({theirs.customer, theirs.key});
         else
             reverse(theirs.customer, theirs.key);
     }
-    context_.send(from, std::move(reply));
+    context_.send(origin, std::move(reply));
+}
+
+const owner::owned_key* owner::find_key(const owned_customer& state,
+                                        const idempotency_key& key)
+{
+    const auto found = state.keys.find(key);
+    return found == state.keys.end() ? nullptr : &found->second;
+}
+
+void owner::pass_on(const instance_id& origin, const billed_key& theirs)
+{
+    // An earlier owner here may have billed it; this VM is its witness.
+    const auto* record = kept_.find(theirs.customer, theirs.key);
+    if (record == nullptr || record->state != key_state::finished)
+        return;
+    const auto& holder = record->charge.holder;
+    if (holder != origin && holder != context_.self() &&
+        context_.members.is_live(holder))
+        context_.send(holder, billed_digest{0, origin, {theirs}});
 }
 
 void owner::on_digest_reply(const instance_id& from, const digest_reply& reply)
--- a/packages/core/owner_witness.cpp
+++ b/packages/core/owner_witness.cpp
@@ -183,7 +183,8 @@
     if (record.state == key_state::finished) {
         entry.adopted = true;
         entry.booked = true;
-        billed_log_.push_back({customer, record.key, record.charge.at_us});
+        billed_log_.push_back(
+            {{customer, record.key, record.charge.at_us}, true});
         return true;
     }
     if (record.state != key_state::running)
--- a/packages/core/peer_message_type.hpp
+++ b/packages/core/peer_message_type.hpp
@@ -255,6 +255,7 @@
 {
     static constexpr std::string_view name = "billed_digest";
     std::uint64_t until = 0; ///< Place in the sender's list after these.
+    instance_id origin;      ///< Who billed them, if not the sender.
     std::vector<billed_key> keys;
 
     bool operator==(const billed_digest&) const = default;
--- a/packages/core/test/core_chaos_test.cpp
+++ b/packages/core/test/core_chaos_test.cpp
@@ -57,6 +57,22 @@
     });
 }
 
+TEST_CASE("retries in other data centres: every key is charged once")
+{
+    check_seeded("retries elsewhere", 40, [] {
+        auto options = arbitrary_scene();
+        options.vms_each = 2;
+        options.retries_elsewhere = true;
+        options.kills = false;
+        const auto report = bag::run_chaos(options);
+        RC_LOG() << "seed " << options.seed << "\n" << report.text();
+        RC_ASSERT(report.overspent == 0);
+        RC_ASSERT(report.doubled_bills == 0U);
+        RC_ASSERT(report.lost_bills == 0U);
+        RC_ASSERT(report.double_orders == 0U);
+    });
+}
+
 TEST_CASE("losses at the same time: still no overspend and no second order")
 {
     check_seeded("losses at the same time", 60, [] {
--- a/tests/support/chaos.hpp
+++ b/tests/support/chaos.hpp
@@ -25,6 +25,7 @@
     bool cuts = true;
     bool outages = true;
     bool top_ups = true;
+    bool retries_elsewhere = false; ///< Also in other data centres.
     platform_faults faults{20, 20, 10};
     std::int64_t orders_percent = 10;
 };
