Share digests again when two VMs of a data centre see each other again

Cause: two lone VMs of two split data centres billed one key; each told the VM that it took for the other's owner, which did not know the key. Change: on reunion a VM sends the keys billed since it lost its neighbour to all again; by then the neighbour holds the records as a witness.

--- a/packages/core/decision_core_base.cpp
+++ b/packages/core/decision_core_base.cpp
@@ -292,6 +292,7 @@
             owner_.on_member_up(change.instance);
             break;
         case member_state::suspected:
+            owner_.on_member_down(change.instance);
             context_.record(timeline_kind::peer_down, {}, {},
                             change.instance.value());
             break;
--- a/packages/core/owner_base.cpp
+++ b/packages/core/owner_base.cpp
@@ -329,6 +329,7 @@
 {
     up_since_[instance] = context_.now;
     digest_cursors_.erase(instance);
+    share_again(instance);
     for (const auto& [customer, keys] : orphans_) {
         const auto& state = customer_of(customer);
         for (const auto& [key, holder] : keys) {
--- a/packages/core/owner_base.hpp
+++ b/packages/core/owner_base.hpp
@@ -42,6 +42,8 @@
     void on_recall_reply(const recall_reply& reply);
     /** The live set has changed: chooses witnesses anew. */
     void on_members_changed();
+    /** A member is no longer live. */
+    void on_member_down(const instance_id& instance);
     /** A member is connected: hands it what was settled in its absence. */
     void on_member_up(const instance_id& instance);
     /** The settlement of an orphan has been taken by its holder. */
@@ -188,6 +190,7 @@
     void reverse(const customer_id& customer, const idempotency_key& key);
     static const owned_key* find_key(const owned_customer& state,
                                      const idempotency_key& key);
+    void share_again(const instance_id& mate);
     void pass_on(const instance_id& origin, const billed_key& theirs);
     [[nodiscard]] bool is_charged(const owned_key& entry) const;
     [[nodiscard]] bool may_share(const member_info& member,
@@ -229,6 +232,7 @@
     std::uint64_t log_start_ = 0;
     std::map<instance_id, std::uint64_t> digest_cursors_;
     std::map<instance_id, time_point> up_since_;
+    std::map<instance_id, time_point> down_since_;
     std::map<instance_id, witness_link> witnesses_;
     std::map<customer_id, std::map<idempotency_key, instance_id>> orphans_;
 };
--- a/packages/core/owner_duplicate.cpp
+++ b/packages/core/owner_duplicate.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::size_t max_digest_keys = 500;
+/** Keys billed just before a VM is suspected may not have reached it. */
+constexpr std::int64_t apart_margin_us = 5'000'000;
 
 /** @return True if the left bill stands and the right one is reversed. */
 bool stands_before(const billed_key& left, const instance_id& left_owner,
@@ -47,6 +49,30 @@
            entry.record.state == key_state::finished;
 }
 
+void owner::on_member_down(const instance_id& instance)
+{
+    down_since_[instance] = context_.now;
+}
+
+void owner::share_again(const instance_id& mate)
+{
+    // While two VMs of this data centre were apart, other data centres may
+    // have told the wrong one; now each knows the other's keys.
+    const auto* member = context_.members.find(mate);
+    const auto down = down_since_.find(mate);
+    if (down == down_since_.end() ||
+        member->data_centre != context_.data_centre())
+        return;
+    const auto apart = to_microseconds(down->second) - apart_margin_us;
+    const auto first = std::find_if(
+        billed_log_.begin(), billed_log_.end(),
+        [&](const auto& entry) { return entry.billed.at_us >= apart; });
+    const auto place =
+        log_start_ + static_cast<std::uint64_t>(first - billed_log_.begin());
+    for (auto& [instance, cursor] : digest_cursors_)
+        cursor = std::min(cursor, place);
+}
+
 void owner::send_digests()
 {
     for (const auto& member : context_.members.live_members()) {
--- a/tests/support/chaos.cpp
+++ b/tests/support/chaos.cpp
@@ -2,9 +2,6 @@
 #include "chaos.hpp"
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
-#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace rosemarydeck::bag
@@ -229,28 +226,6 @@
             restart_one();
     }
 
-    void trace(const idempotency_key& key, const char* what)
-    {
-        if (std::getenv("CHAOS_TRACE") == nullptr ||
-            std::getenv("CHAOS_TRACE") != std::string(what) || traced_++ > 1)
-            return;
-        std::fprintf(stderr, "== %s %s\n", what, key.value().c_str());
-        for (const auto& name : bag_.batches_with(key))
-            std::fprintf(stderr, "  in %s\n", name.c_str());
-        for (const auto& event : bag_.events())
-            if (event.key == key ||
-                (event.key.empty() && event.customer.empty() &&
-                 event.kind != timeline_kind::config_in_force &&
-                 event.kind != timeline_kind::bills_stored))
-                std::fprintf(stderr, "  %ld.%06ld %s %s %s\n",
-                             event.when.wall_us / 1000000 % 1000,
-                             event.when.wall_us % 1000000,
-                             event.vm.value().c_str(),
-                             nlohmann::json(event.kind).dump().c_str(),
-                             event.detail.c_str());
-    }
-    int traced_ = 0;
-
     chaos_report close_books()
     {
         chaos_report report;
@@ -263,10 +238,6 @@
         for (const auto& [key, count] : counts) {
             report.doubled_bills += count > 1 ? 1 : 0;
             report.lost_bills += count < 1 ? 1 : 0;
-            if (count < 1)
-                trace(key.key, "lost");
-            if (count > 1)
-                trace(key.key, "doubled");
         }
         for (std::size_t index = 0; index < options_.customers; ++index)
             close_account(customer_name(index), billed, report);
@@ -293,12 +264,6 @@
         report.overspent += std::max<token_count>(sum - prepaid, 0);
         report.overspent += std::max<token_count>(
             value.settled + granted + value.unproven - prepaid, 0);
-        if (std::getenv("CHAOS_DEBUG") != nullptr)
-            std::fprintf(stderr,
-                         "%s prepaid %ld acc %ld settled %ld granted %ld "
-                         "unproven %ld billed %ld\n",
-                         name.c_str(), prepaid, value.prepaid, value.settled,
-                         granted, value.unproven, sum);
         report.held += granted;
         report.unproven += value.unproven;
         report.unbooked += std::abs(sum - value.settled);
