--- /dev/null
+++ b/packages/config/test/config_test.cpp
@@ -0,0 +1,70 @@
+/** @file config_test.cpp Configuration: whole or not at all, never back. */
+#include "config/config_base.hpp"
+#include "config/config_check_func.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarydeck;
+
+namespace
+{
+
+platform_object plan_object(const std::string& name, object_version version,
+                            token_count prepaid)
+{
+    return {plans_prefix + name, version,
+            R"({"customer":")" + name + R"(","prepaid":)" +
+                std::to_string(prepaid) + R"(,"api_keys":["k"]})",
+            false};
+}
+
+} // namespace
+
+TEST_CASE("an older version is never taken again")
+{
+    fleet_config config;
+    config.apply({plan_object("a", 5, 50)}, 5);
+    CHECK(config.apply({plan_object("a", 4, 40)}, 4).empty());
+    CHECK(config.plan(customer_id("a"))->prepaid == 50);
+    CHECK(config.revision() == 5);
+}
+
+TEST_CASE("a bad value leaves the good one in force")
+{
+    fleet_config config;
+    config.apply({plan_object("a", 5, 50)}, 5);
+    const auto changes = config.apply({plan_object("a", 6, -1)}, 6);
+    REQUIRE(changes.size() == 1);
+    CHECK_FALSE(changes.front().fault.empty());
+    CHECK(config.plan(customer_id("a"))->prepaid == 50);
+}
+
+TEST_CASE("a key that two plans name belongs to the same one everywhere")
+{
+    fleet_config one;
+    fleet_config other;
+    one.apply({plan_object("a", 1, 1), plan_object("b", 2, 1)}, 2);
+    other.apply({plan_object("b", 2, 1)}, 0);
+    other.apply({plan_object("a", 1, 1)}, 2);
+    CHECK(*one.owner_of("k") == *other.owner_of("k"));
+    CHECK(one.owner_of("other") == nullptr);
+}
+
+TEST_CASE("deletions hold, and are passed on")
+{
+    fleet_config config;
+    config.apply({plan_object("a", 1, 1)}, 1);
+    config.apply({{plans_prefix + "a", 2, "", true}}, 2);
+    CHECK(config.plan(customer_id("a")) == nullptr);
+    CHECK(config.owner_of("k") == nullptr);
+    CHECK(config.changed_since(1).size() == 1);
+}
+
+TEST_CASE("each fault of a plan is named")
+{
+    const auto plan = parse_plan(R"({"prepaid":-1,"weight":0})");
+    REQUIRE_FALSE(plan);
+    CHECK(plan.error().text.find("customer is missing") != std::string::npos);
+    CHECK(plan.error().text.find("weight") != std::string::npos);
+    CHECK_FALSE(parse_allowance("no json"));
+}
--- /dev/null
+++ b/packages/member/test/member_test.cpp
@@ -0,0 +1,73 @@
+/** @file member_test.cpp Suspicion, probation and ownership. */
+#include "member/member_func.hpp"
+#include "member/membership_base.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarydeck;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+member_info info(const std::string& vm, std::uint64_t started = 1)
+{
+    member_info made;
+    made.vm = vm_id(vm);
+    made.data_centre = dc_id("dc1");
+    made.started = started;
+    made.instance = make_instance(made.vm, started);
+    return made;
+}
+
+const time_point start{100s};
+
+} // namespace
+
+TEST_CASE("silence leads to suspicion, and flapping to longer probation")
+{
+    membership members({.self = info("a"),
+                        .suspect_after = 2s,
+                        .probation = 1s,
+                        .max_probation = 8s});
+    const auto b = info("b");
+    members.hear(b, start);
+    CHECK(members.is_live(b.instance));
+    members.tick(start + 3s);
+    CHECK(members.state_of(b.instance) == member_state::suspected);
+    members.hear(b, start + 4s);
+    CHECK_FALSE(members.is_live(b.instance));
+    members.hear(b, start + 5s);
+    CHECK(members.is_live(b.instance));
+    members.lose(b.instance);
+    members.hear(b, start + 6s);
+    members.hear(b, start + 7s);
+    CHECK_FALSE(members.is_live(b.instance));
+    members.end(b.instance);
+    members.hear(b, start + 20s);
+    CHECK(members.state_of(b.instance) == member_state::gone);
+}
+
+TEST_CASE("a departure moves only the departed VM's customers")
+{
+    membership members({.self = info("a"), .suspect_after = 2s});
+    for (const auto* name : {"b", "c", "d"})
+        members.hear(info(name), start);
+    std::map<std::string, instance_id> owners;
+    for (int count = 0; count < 200; ++count) {
+        const auto key = "customer" + std::to_string(count);
+        owners[key] = members.ranking(key, dc_id("dc1")).front();
+    }
+    members.lose(info("c").instance);
+    for (const auto& [key, owner] : owners)
+        if (owner != info("c").instance)
+            CHECK(members.ranking(key, dc_id("dc1")).front() == owner);
+}
+
+TEST_CASE("an instance's name tells VM and start")
+{
+    const auto instance = make_instance(vm_id("a.b"), 17);
+    CHECK(vm_of(instance) == vm_id("a.b"));
+    CHECK(start_of(instance) == 17);
+    CHECK(start_of(instance_id("odd")) == 0);
+}
--- /dev/null
+++ b/packages/timeline/test/timeline_test.cpp
@@ -0,0 +1,43 @@
+/** @file timeline_test.cpp Hybrid times, the ring and metrics. */
+#include "timeline/metrics_base.hpp"
+#include "timeline/timeline_base.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarydeck;
+
+TEST_CASE("an effect sorts behind its cause, whatever the clocks say")
+{
+    hybrid_clock ahead;
+    hybrid_clock behind;
+    const auto cause = ahead.next(from_microseconds(2000));
+    behind.observe(cause);
+    const auto effect = behind.next(from_microseconds(1000));
+    CHECK(cause < effect);
+    CHECK(effect < behind.next(from_microseconds(1000)));
+}
+
+TEST_CASE("the ring keeps the newest and selects by filter")
+{
+    timeline_ring ring(2);
+    for (const auto* key : {"k1", "k2", "k3"}) {
+        timeline_event event;
+        event.key = idempotency_key(key);
+        event.kind = timeline_kind::first_token;
+        ring.push(event);
+    }
+    CHECK(ring.select({}).size() == 2);
+    CHECK(ring.select({.key = idempotency_key("k1")}).empty());
+    CHECK(ring.select({.kind = "first_token"}).size() == 2);
+    CHECK(ring.select({.kind = "peer_up"}).empty());
+}
+
+TEST_CASE("metrics count and summarise")
+{
+    metrics_registry metrics;
+    metrics.count("calls", 2);
+    metrics.observe("seconds", std::chrono::milliseconds(5));
+    const auto text = metrics.expose();
+    CHECK(text.find("calls 2\n") != std::string::npos);
+    CHECK(text.find("seconds_count 1\n") != std::string::npos);
+}
--- /dev/null
+++ b/packages/web/test/web_test.cpp
@@ -0,0 +1,144 @@
+/** @file web_test.cpp Requests, streams, logs and the fibers under them. */
+#include "web/answer_store_base.hpp"
+#include "web/chat_request_func.hpp"
+#include "web/fiber_scheduler_base.hpp"
+#include "web/fiber_slot_base.hpp"
+#include "web/reply_func.hpp"
+#include "web/sse_func.hpp"
+
+#include <boost/fiber/all.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace rosemarydeck;
+
+namespace
+{
+
+http_request chat(const std::string& body)
+{
+    http_request request;
+    request.method(boost::beast::http::verb::post);
+    request.target("/v1/chat/completions");
+    request.set("Authorization", "Bearer key");
+    request.body() = body;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a chat request is read whole, or refused with what is wrong")
+{
+    const auto good =
+        read_request(chat(R"({"model":"m","max_tokens":5,"stream":true,
+                 "messages":[{"role":"user","content":"hello"}]})"));
+    REQUIRE(good);
+    CHECK(good->decision.target == target_id("m"));
+    CHECK(good->decision.prompt_bound == 21);
+    CHECK(good->upstream.stream);
+    CHECK(good->upstream.body.find("include_usage") != std::string::npos);
+    for (const auto* bad :
+         {"", "{", "[]", R"({"messages":[]})", R"({"model":"m"})",
+          R"({"model":"m","messages":[1]})",
+          R"({"model":"m","messages":[{"role":"user"}]})",
+          R"({"model":7,"messages":[{"role":"u","content":"x"}]})",
+          R"({"model":"m","n":2,"messages":[{"role":"u","content":"x"}]})",
+          R"({"model":"m","max_tokens":-1,
+              "messages":[{"role":"u","content":"x"}]})"})
+        CHECK_FALSE(read_request(chat(bad)));
+}
+
+TEST_CASE("headers are checked, and orders need a key")
+{
+    auto request = chat("order");
+    request.target("/v1/services/orders/place");
+    CHECK_FALSE(read_request(request));
+    request.set("Idempotency-Key", "k/1");
+    CHECK_FALSE(read_request(request));
+    request.set("Idempotency-Key", "k-1");
+    REQUIRE(read_request(request));
+    CHECK_FALSE(read_request(request)->decision.repeatable);
+    CHECK(read_request(request)->upstream.path == "/place");
+    request.set("X-Priority", "high");
+    CHECK_FALSE(read_request(request));
+}
+
+TEST_CASE("events are cut out of any pieces")
+{
+    const std::string text =
+        "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n: ping\n\n"
+        "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":3,"
+        "\"completion_tokens\":1}}\n\ndata: [DONE]\n\n";
+    for (std::size_t piece = 1; piece < text.size(); piece += 7) {
+        sse_splitter splitter;
+        std::vector<chat_event> events;
+        for (std::size_t at = 0; at < text.size(); at += piece)
+            for (auto& event : splitter.feed(text.substr(at, piece)))
+                events.push_back(event);
+        REQUIRE(events.size() == 4);
+        CHECK(events[0].tokens == 1);
+        CHECK(events[2].usage == token_usage{3, 1});
+        CHECK(events[3].done);
+    }
+    sse_splitter splitter;
+    CHECK(splitter.feed("data: {oops\n\n").front().malformed);
+}
+
+TEST_CASE("every refusal has a status and says whether the request ran")
+{
+    const refuse_request refusal{request_id(1), refusal_reason::would_be_late,
+                                 ran_state::no, 1500};
+    const auto reply = refusal_reply(refusal);
+    CHECK(reply.result_int() == 429);
+    CHECK(reply[boost::beast::http::field::retry_after] == "2");
+    CHECK(reply.body().find("\"ran\":\"no\"") != std::string::npos);
+}
+
+TEST_CASE("a fiber waits for another thread without a poll loop")
+{
+    fiber_slot<int> slot;
+    int got = 0;
+    boost::asio::io_context context; // Outlives the thread's scheduler.
+    std::thread waiting([&] {
+        boost::fibers::use_scheduling_algorithm<fiber_scheduler>(context);
+        boost::fibers::fiber sleeper(
+            [&] { fiber_sleep(context, std::chrono::milliseconds(1)); });
+        got = slot.take();
+        sleeper.join();
+    });
+    slot.put(7);
+    waiting.join();
+    CHECK(got == 7);
+}
+
+TEST_CASE("a log's end is held back; its readers follow at any pace")
+{
+    answer_log log({}, 100);
+    log.start(200, "text/event-stream");
+    CHECK(log.append("abc"));
+    log.hold_end("END");
+    auto step = std::get<answer_part>(log.wait(0));
+    CHECK(step.bytes == "abc");
+    CHECK_FALSE(step.finished);
+    log.finish();
+    step = std::get<answer_part>(log.wait(3));
+    CHECK(step.bytes == "END");
+    CHECK(step.finished);
+    CHECK_FALSE(log.append(std::string(200, 'x')));
+}
+
+TEST_CASE("kept answers are bounded, and the oldest go first")
+{
+    answer_store store(10);
+    std::vector<request_id> ids;
+    for (int count = 0; count < 3; ++count) {
+        const auto log = std::make_shared<answer_log>(upstream_request{}, 100);
+        log->append("123456");
+        ids.push_back(store.next_id());
+        store.add(ids.back(), log);
+    }
+    CHECK(store.keep(ids[0]).empty());
+    CHECK(store.keep(ids[1]) == std::vector<request_id>{ids[0]});
+    CHECK(store.find(ids[0]) == nullptr);
+    CHECK(store.find(ids[2]) != nullptr);
+}
