--- a/packages/client/client_list_cmd.cpp
+++ b/packages/client/client_list_cmd.cpp
@@ -291,8 +291,7 @@
     // once.
     std::map<idempotency_key, bill> bills;
     for (const auto& object : found->objects) {
-        const auto batch =
-            parse_batch(object.value);
+        const auto batch = parse_batch(object.value);
         for (const auto& entry : batch.bills)
             if (entry.customer.value() == words[0] && !entry.reversal)
                 bills.emplace(entry.key, entry);
--- a/packages/core/test/core_chaos_test.cpp
+++ b/packages/core/test/core_chaos_test.cpp
@@ -49,6 +49,7 @@
         RC_ASSERT(report.overspent == 0);
         RC_ASSERT(report.doubled_bills == 0U);
         RC_ASSERT(report.double_orders == 0U);
+        RC_ASSERT(report.false_no == 0U);
         RC_ASSERT(report.unanswered == 0U);
         // A VM alone in its data centre has no witness, so its death may
         // lose bills; see docs/DESIGN.md, what two losses cost.
@@ -70,6 +71,7 @@
         RC_ASSERT(report.doubled_bills == 0U);
         RC_ASSERT(report.lost_bills == 0U);
         RC_ASSERT(report.double_orders == 0U);
+        RC_ASSERT(report.false_no == 0U);
     });
 }
 
@@ -83,6 +85,7 @@
         RC_LOG() << "seed " << options.seed << "\n" << report.text();
         RC_ASSERT(report.overspent == 0);
         RC_ASSERT(report.double_orders == 0U);
+        RC_ASSERT(report.false_no == 0U);
         RC_ASSERT(report.unanswered == 0U);
     });
 }
--- a/tests/support/chaos.cpp
+++ b/tests/support/chaos.cpp
@@ -306,6 +306,8 @@
     void count_refusal(const caller_record& caller, chaos_report& report)
     {
         ++report.refused;
+        const bool says_no = caller.refused->ran == ran_state::no;
+        report.false_no += says_no && caller.dispatched ? 1 : 0;
         const auto reason = caller.refused->reason;
         const bool budget = reason == refusal_reason::budget_exhausted ||
                             reason == refusal_reason::budget_unavailable;
--- a/tests/support/core_bag.cpp
+++ b/tests/support/core_bag.cpp
@@ -213,15 +213,13 @@
     request.relayed = relayed;
     request.prompt_bound = 50;
     request.max_output = output;
-    callers_.push_back({customer_id(customer),
-                        request.key,
-                        vm,
-                        now_,
-                        {},
-                        {},
-                        {},
-                        relayed,
-                        false});
+    caller_record caller;
+    caller.customer = customer_id(customer);
+    caller.key = request.key;
+    caller.vm = vm;
+    caller.sent = now_;
+    caller.relayed = relayed;
+    callers_.push_back(caller);
     caller_index_[{vm, request.id}] = callers_.size() - 1;
     requests_[{vm, request.id}] = request;
     const auto place = callers_.size() - 1;
@@ -390,6 +388,8 @@
     const auto request = requests_.at({vm, action.id});
     const customer_key key{customer_id(request.api_key.substr(4)), request.key};
     ++runs_[key].begun;
+    if (auto* caller = caller_of(vm, action.id))
+        caller->dispatched = true;
     const bool crashes = static_cast<int>(random(thousand)) < crash_chance;
     const auto took =
         service_time / 2 +
--- a/tests/support/core_bag.hpp
+++ b/tests/support/core_bag.hpp
@@ -25,7 +25,8 @@
     std::optional<refuse_request> refused;
     std::optional<request_id> joined;
     bool relayed = false;
-    bool alone = false; ///< Finished with no other VM live there.
+    bool dispatched = false; ///< Sent to a backend server at least once.
+    bool alone = false;      ///< Finished with no other VM live there.
 };
 
 /** What the backend servers have run for one key. */
