--- a/packages/core/action_type.hpp
+++ b/packages/core/action_type.hpp
@@ -90,6 +90,7 @@
 struct finish_request
 {
     request_id id;
+    bool keep = true; ///< A retry may ask for the answer again.
     bool operator==(const finish_request&) const = default;
 };
 
--- a/packages/core/dispatcher_attempt.cpp
+++ b/packages/core/dispatcher_attempt.cpp
@@ -206,8 +206,9 @@
         finished_[key] = {id, open.request.fingerprint, context_.now};
         finished_ids_[id] = key;
     }
+    const bool keep = open.key_given;
     erase(id);
-    context_.act(finish_request{id});
+    context_.act(finish_request{id, keep});
 }
 
 void dispatcher::release(open_request& open)
--- a/packages/core/dispatcher_base.cpp
+++ b/packages/core/dispatcher_base.cpp
@@ -1,6 +1,8 @@
 /** @file dispatcher_base.cpp Admission, reservation and identity. */
 #include "core/dispatcher_base.hpp"
 
+#include "request/key_func.hpp"
+
 #include <algorithm>
 
 namespace rosemarydeck
@@ -76,8 +78,7 @@
                       *fault == refusal_reason::draining ? drain_retry_ms : 0);
     auto key = request.key;
     if (key.empty())
-        key = idempotency_key("auto:" + context_.self().value() + ":" +
-                              std::to_string(++next_key_));
+        key = make_generated_key(context_.self(), ++next_key_);
     const customer_key whole{*customer, key};
     if (answer_from_own(whole, request) || answer_by_issuer(whole, request))
         return;
--- a/packages/core/owner_base.cpp
+++ b/packages/core/owner_base.cpp
@@ -3,6 +3,7 @@
 
 #include "core/bill_writer_base.hpp"
 #include "core/witness_base.hpp"
+#include "request/key_func.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -274,6 +275,8 @@
     if (!finished)
         return;
     bills_.add(record.charge);
+    if (is_generated(record.key))
+        return; // No one can have billed it twice.
     billed_log_.push_back(
         {{record.charge.customer, record.key, record.charge.at_us}, false});
 }
--- a/packages/core/owner_witness.cpp
+++ b/packages/core/owner_witness.cpp
@@ -2,6 +2,7 @@
 #include "core/owner_base.hpp"
 
 #include "core/bill_writer_base.hpp"
+#include "request/key_func.hpp"
 
 namespace rosemarydeck
 {
@@ -120,6 +121,8 @@
             continue;
         auto& record = entry->second.record;
         (each.reversal ? record.reversal_stored : record.stored) = true;
+        if (is_generated(each.key))
+            state->second.keys.erase(entry);
         const auto witness = context_.witness_for(each.customer);
         if (!witness.empty())
             notices[witness].keys.push_back({each.customer, each.key});
--- a/packages/core/witness_base.cpp
+++ b/packages/core/witness_base.cpp
@@ -1,6 +1,8 @@
 /** @file witness_base.cpp Records that this VM keeps for other owners. */
 #include "core/witness_base.hpp"
 
+#include "request/key_func.hpp"
+
 #include <algorithm>
 
 namespace rosemarydeck
@@ -35,8 +37,11 @@
         if (kept == holder->second.end())
             continue;
         const auto record = kept->second.records.find(entry.key);
-        if (record != kept->second.records.end())
-            record->second.stored = true;
+        if (record == kept->second.records.end())
+            continue;
+        record->second.stored = true;
+        if (is_generated(entry.key))
+            kept->second.records.erase(record);
     }
 }
 
--- a/packages/request/bill_outbox_base.cpp
+++ b/packages/request/bill_outbox_base.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/** Keeps a batch of the longest allowed names under one object's size. */
-constexpr std::size_t max_batch_bills = 1500;
+/** Keeps a batch under one object's size, and its encoding short. */
+constexpr std::size_t max_batch_bills = 250;
 
 } // namespace
 
--- a/packages/web/caller_service_base.cpp
+++ b/packages/web/caller_service_base.cpp
@@ -148,7 +148,7 @@
                                             ran_state::unknown, 500});
                  },
                  [&](const dispatch_attempt& one) { start_attempt(one); },
-                 [&](const finish_request& one) { finish(one.id); },
+                 [&](const finish_request& one) { finish(one); },
                  [](const auto&) {}},
         action);
 }
@@ -162,13 +162,15 @@
     answers_.drop(id);
 }
 
-void caller_service::finish(request_id id)
+void caller_service::finish(const finish_request& done)
 {
-    const auto log = answers_.find(id);
+    const auto log = answers_.find(done.id);
     if (!log)
         return;
     log->finish();
-    for (const auto dropped : answers_.keep(id))
+    if (!done.keep)
+        return answers_.drop(done.id);
+    for (const auto dropped : answers_.keep(done.id))
         control_.tell(answer_dropped{dropped});
 }
 
--- a/packages/web/caller_service_base.hpp
+++ b/packages/web/caller_service_base.hpp
@@ -65,7 +65,7 @@
     void on_accepted(traffic_thread& target,
                      boost::asio::ip::tcp::socket socket);
     void start_attempt(const dispatch_attempt& order);
-    void finish(request_id id);
+    void finish(const finish_request& done);
     void divert(request_id id, log_step step);
     void poll_loads(traffic_thread& mine);
 
