--- a/packages/core/action_type.hpp
+++ b/packages/core/action_type.hpp
@@ -25,8 +25,6 @@
     budget_unavailable,
     owner_unavailable,
     claim_unavailable,
-    bills_backlog,
-    crashes_servers,
     server_failed,
     outcome_unknown,
 };
--- a/packages/core/decision_core_base.cpp
+++ b/packages/core/decision_core_base.cpp
@@ -21,7 +21,6 @@
                                   "key_conflict",       "key_in_use",
                                   "budget_exhausted",   "budget_unavailable",
                                   "owner_unavailable",  "claim_unavailable",
-                                  "bills_backlog",      "crashes_servers",
                                   "server_failed",      "outcome_unknown"};
 
 } // namespace
--- a/packages/web/reply_func.cpp
+++ b/packages/web/reply_func.cpp
@@ -30,8 +30,6 @@
         return 409;
     case refusal_reason::too_large:
         return 413;
-    case refusal_reason::crashes_servers:
-        return 422;
     case refusal_reason::too_many_requests:
     case refusal_reason::would_be_late:
         return 429;
