Close the port in every drain, and draw the same values in every test run

Two properties (budget, schedule) drew a new seed in each run. Change: the daemon leaves when the core says that it drains, whoever asked; CTest sets RC_PARAMS for every test program. Figures: the new test fails with the daemon before ("closed only at the end") and passes with this one.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -21,5 +21,7 @@
     target_link_libraries(${name}_test PRIVATE
       ${target} rosemarydeck_test_main)
     add_test(NAME ${name} COMMAND ${name}_test)
+    # Properties draw the same values in every run.
+    set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204")
   endif()
 endfunction()
--- a/packages/daemon/daemon_base.cpp
+++ b/packages/daemon/daemon_base.cpp
@@ -192,6 +192,9 @@
     const auto kind = nlohmann::json(action.event.kind).get<std::string>();
     metrics_.count("rosemarydeck_events{kind=\"" + kind + "\"}");
     switch (action.event.kind) {
+    case timeline_kind::draining: // By signal, by an operator, or sealed.
+        on_draining();
+        break;
     case timeline_kind::peer_up:
     case timeline_kind::peer_down:
     case timeline_kind::peer_gone:
@@ -250,8 +253,14 @@
 
 void daemon::begin_drain()
 {
+    handle(drain_self{});
+}
+
+void daemon::on_draining()
+{
+    if (draining_.exchange(true))
+        return;
     log_info("main", "Draining: no new connections, open requests finish.");
-    draining_ = true;
     ready_ = false;
     callers_->close_port();
     drain_limit_.expires_after(milliseconds(values_.drain_limit_ms));
@@ -259,7 +268,6 @@
         if (!fault)
             cut_off("The drain limit was reached.");
     });
-    handle(drain_self{});
 }
 
 void daemon::watch_drain()
--- a/packages/daemon/daemon_base.hpp
+++ b/packages/daemon/daemon_base.hpp
@@ -49,6 +49,7 @@
     void follow_config();
     void on_signal();
     void begin_drain();
+    void on_draining();
     void watch_drain();
     void end(daemon_exit how);
     void cut_off(const std::string& why);
--- a/tests/daemons/failure_test.py
+++ b/tests/daemons/failure_test.py
@@ -21,6 +21,15 @@
     return first, second
 
 
+def refuses(port):
+    """True once a VM takes no new connection."""
+    try:
+        fleet.call(port, "GET", "/health", timeout=5)
+        return False
+    except (OSError, http.client.HTTPException):
+        return True
+
+
 class Traffic(threading.Thread):
     """Asks for one answer, with its key, until some VM gives it whole."""
 
@@ -178,6 +187,23 @@
             held = [grant for grant in grants if "vm-a" in grant["holder"]]
             self.assertEqual(sum(grant["amount"] for grant in held), 0)
 
+    def test_drain_by_an_operator_ends_the_vm_too(self):
+        with fleet.Fleet() as trial:
+            trial.add_engine("e1", pace_ms=20)
+            trial.add_customer("acme", 1_000_000)
+            trial.start_platform()
+            vm = trial.start_vm("vm-a")
+            trial.wait_ready()
+            caller = Traffic([vm.port], "k1", tokens=150)
+            fleet.wait_until(
+                lambda: trial.status("vm-a")["open_requests"] == 1, 20, "one")
+            trial.client("drain", "vm")
+            fleet.wait_until(lambda: refuses(vm.port), 20, "a closed port")
+            self.assertTrue(caller.is_alive(), "closed only at the end")
+            caller.join()
+            self.assertIsNotNone(caller.text)
+            self.assertEqual(vm.process.wait(20), 0, vm.text())
+
     def test_bad_input_hurts_nobody(self):
         with fleet.Fleet() as trial:
             trial.add_engine("e1")
