Route on the users' platform: adapter, decision packages and gateway

Cause: the daemon spoke only its own protocol and served nothing on the platform.

The own interface's store client moved from packages/platform to packages/object_service.

--- a/packages/budget/account_type.hpp
+++ b/packages/budget/account_type.hpp
@@ -3,7 +3,7 @@
 
 #include "common/id_type.hpp"
 #include "common/json_type.hpp"
-#include "platform/platform_type.hpp"
+#include "object_service/object_call_type.hpp"
 
 #include <vector>
 
--- a/packages/client/client_call_func.cpp
+++ b/packages/client/client_call_func.cpp
@@ -1,7 +1,7 @@
 /** @file client_call_func.cpp Calls from the client to daemons. */
 #include "client/client_call_func.hpp"
 
-#include "platform/platform_codec_func.hpp"
+#include "object_service/object_codec_func.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/packages/client/client_call_func.hpp
+++ b/packages/client/client_call_func.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "client/client_type.hpp"
-#include "platform/platform_type.hpp"
+#include "object_service/object_call_type.hpp"
 
 namespace rosemarydeck
 {
--- a/packages/config/config_base.hpp
+++ b/packages/config/config_base.hpp
@@ -3,7 +3,7 @@
 
 #include "common/error_type.hpp"
 #include "config/config_type.hpp"
-#include "platform/platform_type.hpp"
+#include "object_service/object_call_type.hpp"
 
 #include <map>
 #include <set>
--- a/packages/core/peer_message_type.hpp
+++ b/packages/core/peer_message_type.hpp
@@ -4,7 +4,7 @@
 #include "budget/account_type.hpp"
 #include "common/json_type.hpp"
 #include "member/member_type.hpp"
-#include "platform/platform_type.hpp"
+#include "object_service/object_call_type.hpp"
 #include "request/bill_type.hpp"
 #include "timeline/timeline_type.hpp"
 
--- a/packages/daemon/daemon_main.cpp
+++ b/packages/daemon/daemon_main.cpp
@@ -1,5 +1,7 @@
 /** @file daemon_main.cpp Command line of rosemarydeckd. */
 #include "daemon/daemon_base.hpp"
+#include "gateway/gateway_base.hpp"
+#include "platform/platform_settings_func.hpp"
 #include "settings/settings_base.hpp"
 
 #include <cstdio>
@@ -20,6 +22,7 @@
 {
     char* settings_file = nullptr;
     char* check_file = nullptr;
+    int platform = 0;
     int print = 0;
     int version = 0;
 };
@@ -62,6 +65,29 @@
     std::_Exit(static_cast<int>(how));
 }
 
+/** Runs the router on the users' platform, whose settings file is named in an
+ *  environment variable. */
+int serve_platform()
+{
+    const char* path = std::getenv(platform::settings_variable);
+    if (path == nullptr) {
+        std::fprintf(stderr, "rosemarydeckd: %s is not set\n",
+                     platform::settings_variable);
+        return exit_bad_usage;
+    }
+    const auto values = platform::read_settings(path);
+    if (!values) {
+        for (const auto& fault : values.error())
+            std::fprintf(stderr, "%s:%zu: %s\n", path, fault.line,
+                         fault.text.c_str());
+        return exit_bad_settings;
+    }
+    auto* vm = new gateway(*values, path);
+    const int code = vm->run();
+    // The traffic thread still holds connections; see serve().
+    std::_Exit(code);
+}
+
 int usage_fault(poptContext context, const char* text)
 {
     std::fprintf(stderr, "rosemarydeckd: %s\n", text);
@@ -84,6 +110,8 @@
         return print();
     if (line.check_file != nullptr)
         return check(line.check_file);
+    if (line.platform != 0)
+        return serve_platform();
     if (line.settings_file == nullptr)
         return usage_fault(context, "--settings FILE is missing");
     return serve(line.settings_file);
@@ -97,6 +125,9 @@
     const poptOption options[] = {
         {"settings", 's', POPT_ARG_STRING, &line.settings_file, 0,
          "run with the settings in FILE", "FILE"},
+        {"platform", 0, POPT_ARG_NONE, &line.platform, 0,
+         "route on the users' platform, with the settings that it names",
+         nullptr},
         {"check-settings", 'c', POPT_ARG_STRING, &line.check_file, 0,
          "check FILE, say each fault with its line, and end", "FILE"},
         {"print-settings", 'p', POPT_ARG_NONE, &line.print, 0,
--- a/packages/daemon/platform_client_base.cpp
+++ b/packages/daemon/platform_client_base.cpp
@@ -1,7 +1,7 @@
 /** @file platform_client_base.cpp The platform's service, near or far. */
 #include "daemon/platform_client_base.hpp"
 
-#include "platform/platform_codec_func.hpp"
+#include "object_service/object_codec_func.hpp"
 
 #include <fstream>
 #include <nlohmann/json.hpp>
--- a/packages/daemon/platform_client_base.hpp
+++ b/packages/daemon/platform_client_base.hpp
@@ -1,7 +1,7 @@
 /** @file platform_client_base.hpp The platform's service, near or far. */
 #pragma once
 
-#include "platform/object_store_base.hpp"
+#include "object_service/object_store_base.hpp"
 #include "web/http_client_base.hpp"
 
 #include <boost/asio/io_context.hpp>
--- /dev/null
+++ b/packages/gateway/control_budget.cpp
@@ -0,0 +1,151 @@
+/** @file control_budget.cpp Keeps this VM's grants in step with the ledger. */
+#include "gateway/control_service_base.hpp"
+
+#include "web/fiber_scheduler_base.hpp"
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+/** Time between renewals while nothing is wanted sooner. */
+constexpr auto renew_every = milliseconds(2'000);
+/** Least time between renewals that requests ask for. */
+constexpr auto renew_apart = milliseconds(100);
+/** Tries of one renewal against other VMs' writes. */
+constexpr int max_conflicts = 6;
+
+} // namespace
+
+void control_service::renew_soon()
+{
+    renew_wanted_ = true;
+    renew_timer_.cancel();
+}
+
+void control_service::keep_budgets()
+{
+    while (!closing_) {
+        if (config_ && !closing_)
+            renew_budgets();
+        const auto pause = renew_wanted_ ? renew_apart : renew_every;
+        renew_wanted_ = false;
+        renew_timer_.expires_after(pause);
+        const auto waited = await_io(
+            [&](auto handler) { renew_timer_.async_wait(std::move(handler)); });
+        if (waited.fault) // Cut short by renew_soon().
+            fiber_sleep(io_, std::max<duration>(duration{}, last_renewal_ +
+                                                                renew_apart -
+                                                                clock_.now()));
+    }
+}
+
+std::map<customer_id, token_count> control_service::prepaid() const
+{
+    std::map<customer_id, token_count> result;
+    for (const auto& customer : config_->config().customers)
+        if (customer.prepaid)
+            result[customer.id] = *customer.prepaid;
+    return result;
+}
+
+void control_service::renew_budgets()
+{
+    const auto live_before = keeper_.live_runs();
+    last_renewal_ = clock_.now();
+    for (int tries = 0; tries < max_conflicts && !closing_; ++tries) {
+        // The first read may be old; a conflict brings the newest.
+        if (!keeper_.fresh() && !read_ledger(keeper_.joined()))
+            return;
+        if (write_ledger(keeper_.prepare(prepaid(), clock_.now()))) {
+            note_rests();
+            if (live_before != keeper_.live_runs())
+                publish();
+            return;
+        }
+        if (!keeper_.fresh())
+            return;
+    }
+}
+
+bool control_service::read_ledger(bool stale)
+{
+    const auto turn = store_.await_turn();
+    const auto reply = store_.call(platform::get_call(
+        platform::ledger_kind, platform::ledger_name, stale));
+    if (!reply)
+        return false;
+    const auto object = platform::decode_object(reply->status, reply->body);
+    if (!object)
+        return false;
+    if (!*object) {
+        keeper_.refreshed(std::nullopt, 0, clock_.now());
+        return true;
+    }
+    try {
+        keeper_.refreshed((*object)->spec.get<ledger>(), (*object)->revision,
+                          clock_.now());
+    }
+    catch (const nlohmann::json::exception& fault) {
+        log_.write("ledger_unreadable", {{"why", fault.what()}});
+        return false;
+    }
+    return true;
+}
+
+bool control_service::write_ledger(const ledger_write& write)
+{
+    const auto turn = store_.await_turn();
+    const auto reply = store_.call(
+        platform::write_call(platform::ledger_kind, platform::ledger_name,
+                             nlohmann::json(write.next), write.condition));
+    if (!reply) {
+        keeper_.unanswered();
+        return false;
+    }
+    const auto result = platform::decode_write(reply->status, reply->body);
+    if (!result) {
+        keeper_.unanswered();
+        return false;
+    }
+    if (result->done) {
+        keeper_.written(result->object->revision, clock_.now());
+        return true;
+    }
+    try {
+        keeper_.refreshed(
+            result->object ? std::optional(result->object->spec.get<ledger>())
+                           : std::nullopt,
+            result->object ? result->object->revision : 0, clock_.now());
+    }
+    catch (const nlohmann::json::exception& fault) {
+        log_.write("ledger_unreadable", {{"why", fault.what()}});
+        keeper_.unanswered();
+    }
+    return false;
+}
+
+void control_service::note_rests()
+{
+    for (const auto& [customer, total] : prepaid())
+        purse_.note_rest(customer, keeper_.unspent_of(customer, total));
+}
+
+void control_service::close_budgets()
+{
+    closing_ = true;
+    renew_timer_.cancel();
+    for (int tries = 0; tries < max_conflicts; ++tries) {
+        if (store_.down() || !keeper_.joined())
+            return;
+        if (!keeper_.fresh() && !read_ledger(false))
+            return;
+        if (write_ledger(keeper_.prepare_close(clock_.now()))) {
+            log_.write("budgets_returned", {});
+            return;
+        }
+    }
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/engine_pool_base.cpp
@@ -0,0 +1,121 @@
+/** @file engine_pool_base.cpp Kept connections to engines. */
+#include "gateway/engine_pool_base.hpp"
+
+#include "web/fiber_scheduler_base.hpp"
+#include "web/socket_option_func.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+constexpr std::size_t max_idle_per_engine = 6;
+/** Two lost keep-alive probes end a connection to a vanished engine. */
+constexpr auto dead_peer_limit = std::chrono::seconds(3);
+
+bool looks_alive(engine_connection& connection)
+{
+    // Anything readable on an idle connection is a close or a stray answer.
+    boost::system::error_code fault;
+    connection.socket.non_blocking(true, fault);
+    char byte = 0;
+    connection.socket.receive(boost::asio::buffer(&byte, 1),
+                              boost::asio::socket_base::message_peek, fault);
+    return fault == boost::asio::error::would_block;
+}
+
+bool is_stale(const engine_connection& connection, time_point now)
+{
+    return now - connection.idle_since >= connection.idle_limit;
+}
+
+} // namespace
+
+void engine_connection::reset()
+{
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+engine_pool::engine_pool(boost::asio::io_context& io) : io_(io) {}
+
+engine_connection_ptr engine_pool::take_idle(const engine_info& engine,
+                                             time_point now)
+{
+    auto& idle = idle_[engine.id];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (!is_stale(*connection, now) && looks_alive(*connection))
+            return connection;
+    }
+    return nullptr;
+}
+
+engine_connection_ptr engine_pool::make()
+{
+    return std::make_shared<engine_connection>(io_);
+}
+
+expected<void> engine_pool::connect(const engine_info& engine,
+                                    const engine_connection_ptr& into,
+                                    milliseconds timeout)
+{
+    boost::system::error_code fault;
+    const auto address = boost::asio::ip::make_address(engine.address, fault);
+    const auto failed = [&](const std::string& text) {
+        return tl::unexpected(
+            error{error_code::unavailable, "connect", engine.endpoint(), text});
+    };
+    if (fault)
+        return failed(fault.message());
+    into->engine = engine.id;
+    into->connecting = true;
+    boost::asio::steady_timer timer(io_, timeout);
+    timer.async_wait([into](const boost::system::error_code& stopped) {
+        boost::system::error_code ignored;
+        if (!stopped && into->connecting)
+            into->socket.close(ignored);
+    });
+    const auto done = await_io([&](auto handler) {
+        into->socket.async_connect({address, engine.port}, std::move(handler));
+    });
+    into->connecting = false;
+    timer.cancel();
+    if (done.fault)
+        return failed(done.fault.message());
+    if (!into->socket.is_open())
+        return failed("cancelled");
+    watch_for_dead_peer(into->socket, dead_peer_limit);
+    return {};
+}
+
+void engine_pool::keep(engine_connection_ptr connection, time_point now)
+{
+    auto& idle = idle_[connection->engine];
+    connection->fresh = false;
+    connection->idle_since = now;
+    idle.push_back(std::move(connection));
+    if (idle.size() > max_idle_per_engine)
+        idle.pop_front();
+}
+
+void engine_pool::tidy(const fleet_view& view, time_point now)
+{
+    std::set<server_id> listed;
+    for (const auto& [service, engines] : view.engines)
+        for (const auto& engine : engines)
+            listed.insert(engine.id);
+    std::erase_if(idle_,
+                  [&](const auto& one) { return !listed.count(one.first); });
+    for (auto& [engine, idle] : idle_)
+        std::erase_if(idle,
+                      [&](const auto& one) { return is_stale(*one, now); });
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/event_log_base.cpp
@@ -0,0 +1,154 @@
+/** @file event_log_base.cpp Structured log lines on standard output. */
+#include "gateway/event_log_base.hpp"
+
+#include <fcntl.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
+#include <utility>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+constexpr std::size_t max_buffered_bytes = 256 * 1'024;
+/** Lines per second of one event name; 200 bytes each make 60 KB/s. */
+constexpr std::uint32_t max_lines_per_second = 300;
+
+bool needs_quotes(std::string_view text)
+{
+    return text.empty() ||
+           text.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+void append_value(std::string& line, std::string_view text)
+{
+    if (!needs_quotes(text)) {
+        line += text;
+        return;
+    }
+    line += '"';
+    for (const char letter : text) {
+        if (letter == '"' || letter == '\\')
+            line += '\\';
+        line += letter == '\n' || letter == '\r' ? ' ' : letter;
+    }
+    line += '"';
+}
+
+} // namespace
+
+bounded_appender::bounded_appender()
+{
+    const auto flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        (void)::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+bounded_appender::~bounded_appender()
+{
+    destructorImpl();
+}
+
+void bounded_appender::append(const log4cplus::spi::InternalLoggingEvent& event)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto& text = event.getMessage();
+    if (buffer_.size() + text.size() > max_buffered_bytes) {
+        ++dropped_;
+        return;
+    }
+    buffer_ += text;
+    buffer_ += '\n';
+}
+
+void bounded_appender::flush()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (buffer_.empty())
+        return;
+    const auto done = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+    if (done > 0)
+        buffer_.erase(0, static_cast<std::size_t>(done));
+}
+
+std::uint64_t bounded_appender::take_dropped()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::exchange(dropped_, 0);
+}
+
+event_log::event_log(std::string vm, const std::string& level)
+    : vm_(std::move(vm))
+{
+    static log4cplus::Initializer initializer;
+    auto owned = std::make_unique<bounded_appender>();
+    appender_ = owned.get();
+    keeps_ = log4cplus::SharedAppenderPtr(owned.release());
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(keeps_);
+    root.setLogLevel(level == "error" ? log4cplus::ERROR_LOG_LEVEL
+                                      : log4cplus::INFO_LOG_LEVEL);
+}
+
+bool event_log::take(std::string_view event)
+{
+    const auto now = clock_.now();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto found = rates_.find(event);
+    if (found == rates_.end())
+        found = rates_.emplace(std::string(event), rate{}).first;
+    auto& used = found->second;
+    if (now - used.second >= std::chrono::seconds(1)) {
+        used.second = now;
+        used.lines = 0;
+    }
+    if (++used.lines <= max_lines_per_second)
+        return true;
+    ++used.dropped;
+    return false;
+}
+
+void event_log::write(std::string_view event,
+                      std::initializer_list<log_field> fields)
+{
+    if (!take(event))
+        return;
+    const auto now = to_microseconds(clock_.now());
+    std::string line = "t=" + std::to_string(now / 1'000) + " vm=" + vm_ +
+                       " event=" + std::string(event);
+    for (const auto& field : fields) {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        append_value(line, field.value);
+    }
+    static const auto logger = log4cplus::Logger::getInstance("gateway");
+    logger.log(log4cplus::INFO_LOG_LEVEL, line);
+}
+
+void event_log::flush()
+{
+    std::string dropped;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (auto& [event, used] : rates_)
+            if (used.dropped > 0)
+                dropped += (dropped.empty() ? "" : ",") + event + ":" +
+                           std::to_string(std::exchange(used.dropped, 0));
+    }
+    const auto unbuffered = appender_->take_dropped();
+    if (unbuffered > 0)
+        dropped += (dropped.empty() ? "" : ",") + std::string("buffer:") +
+                   std::to_string(unbuffered);
+    if (!dropped.empty())
+        write("log_dropped", {{"lines", dropped}});
+    appender_->flush();
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/event_log_base.hpp
@@ -0,0 +1,103 @@
+/** @file event_log_base.hpp Structured log lines on standard output. */
+#pragma once
+
+#include "common/time_type.hpp"
+
+#include <array>
+#include <cstdint>
+#include <initializer_list>
+#include <log4cplus/appender.h>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace rosemarydeck
+{
+
+/** One name and value of a log line. */
+struct log_field
+{
+    std::string_view name;
+    std::string value;
+
+    log_field(std::string_view key, std::string text)
+        : name(key), value(std::move(text))
+    {
+    }
+    log_field(std::string_view key, std::string_view text)
+        : name(key), value(text)
+    {
+    }
+    log_field(std::string_view key, const char* text) : name(key), value(text)
+    {
+    }
+    template <class Number>
+    requires std::is_arithmetic_v<Number> log_field(std::string_view key,
+                                                    Number number)
+        : name(key), value(std::to_string(number))
+    {
+    }
+    log_field(std::string_view key, std::chrono::microseconds span)
+        : name(key), value(std::to_string(span.count() / 1'000))
+    {
+    }
+};
+
+/** Holds lines in a bounded buffer until they can be written unblocked. */
+class bounded_appender : public log4cplus::Appender
+{
+public:
+    bounded_appender();
+    ~bounded_appender() override;
+
+    void close() override {}
+    /** Writes what standard output takes without blocking. */
+    void flush();
+    /** @return Lines dropped because the buffer was full, since last asked. */
+    std::uint64_t take_dropped();
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override;
+
+private:
+    std::mutex mutex_;
+    std::string buffer_;
+    std::uint64_t dropped_ = 0;
+};
+
+/**
+ * Writes one line for each decision: event=NAME and fields as name=value.
+ * Each event name has a budget of lines per second; what goes beyond it is
+ * counted and reported. Never blocks. Usable from any thread.
+ */
+class event_log
+{
+public:
+    /** @param level error, warn, info or debug. */
+    explicit event_log(std::string vm, const std::string& level = "info");
+
+    /** Writes a line, unless the event's budget is used up. */
+    void write(std::string_view event, std::initializer_list<log_field> fields);
+    /** Passes buffered lines on and reports dropped ones; call often. */
+    void flush();
+
+private:
+    struct rate
+    {
+        time_point second{};
+        std::uint32_t lines = 0;
+        std::uint64_t dropped = 0;
+    };
+
+    bool take(std::string_view event);
+
+    std::string vm_;
+    runtime_clock clock_;
+    std::mutex mutex_;
+    std::map<std::string, rate, std::less<>> rates_;
+    log4cplus::SharedAppenderPtr keeps_;
+    bounded_appender* appender_ = nullptr;
+};
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/gateway_base.hpp
@@ -0,0 +1,48 @@
+/** @file gateway_base.hpp One VM's router process on the users' platform. */
+#pragma once
+
+#include "gateway/control_service_base.hpp"
+#include "gateway/traffic_service_base.hpp"
+#include "web/fiber_slot_base.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace rosemarydeck
+{
+
+/** Runs control on the calling thread and traffic on another. */
+class gateway
+{
+public:
+    /** @param settings_path Read again when it changes. */
+    gateway(gateway_settings settings, std::string settings_path);
+
+    /** Runs until the process is told to end. @return The exit code. */
+    int run();
+
+private:
+    expected<void> open(boost::asio::ip::tcp::acceptor& acceptor,
+                        const endpoint& at);
+    void answer_checks(boost::asio::ip::tcp::acceptor& acceptor);
+    void answer_check(boost::asio::ip::tcp::socket socket);
+    std::string check_reply(const std::string& target) const;
+    void await_signal();
+    void drain();
+
+    gateway_settings settings_;
+    std::string settings_path_;
+    boost::asio::io_context io_{1};
+    boost::asio::signal_set signals_{io_, SIGTERM, SIGINT, SIGHUP};
+    boost::asio::ip::tcp::acceptor ready_port_{io_};
+    boost::asio::ip::tcp::acceptor metrics_port_{io_};
+    event_log log_;
+    gateway_metrics metrics_;
+    wallet purse_;
+    runtime_clock clock_;
+    std::unique_ptr<control_service> control_;
+    std::unique_ptr<traffic_service> traffic_;
+    bool draining_ = false;
+    fiber_slot<int> ended_;
+};
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -0,0 +1,100 @@
+/** @file gateway_metrics_base.cpp Counters and latency histograms. */
+#include "gateway/gateway_metrics_base.hpp"
+
+#include <sstream>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+/** Name and help of one metric. */
+struct metric_row
+{
+    const char* name;
+    const char* help;
+};
+
+constexpr std::array<metric_row, static_cast<std::size_t>(counter::count_)>
+    counter_rows{{
+        {"requests_total", "Requests read from clients."},
+        {"answers_served_total", "Whole successful answers delivered."},
+        {"answers_late_total", "Of these, after the route's target latency."},
+        {"answers_failed_total", "Requests that ended without success."},
+        {"refused_no_config_total", "Refused before a configuration came."},
+        {"refused_unauthorized_total", "Refused for an unknown key."},
+        {"refused_no_route_total", "Refused because no route matches."},
+        {"refused_malformed_total", "Requests that could not be read."},
+        {"refused_budget_spent_total", "Refused: the budget can't cover it."},
+        {"refused_budget_unknown_total",
+         "Refused: no headroom here and the ledger out of reach."},
+        {"refused_no_engine_total", "Refused: no engine could be reached."},
+        {"refused_engines_full_total", "Refused: engines turned it away."},
+        {"clients_gone_total", "Requests whose client left first."},
+        {"sends_total", "Requests sent to engines, repeats included."},
+        {"repeats_total", "Sends beyond a request's first."},
+        {"repeats_denied_total", "Repeats that the retry budget denied."},
+        {"resumes_total", "Streams continued at another engine."},
+        {"engine_connections_total", "Connections opened to engines."},
+        {"events_forwarded_total", "Stream events passed to clients."},
+        {"tokens_charged_total", "Tokens charged to customers."},
+        {"store_calls_total", "Calls to the platform's store."},
+        {"store_failures_total", "Of these, without a usable answer."},
+        {"config_changes_total", "Configurations taken into force."},
+    }};
+
+constexpr std::array<metric_row, static_cast<std::size_t>(histogram::count_)>
+    histogram_rows{{
+        {"first_event_ms", "Time to a request's first answer bytes."},
+        {"whole_answer_ms", "Time to the end of a request's answer."},
+        {"store_call_ms", "Time of one store call, watches left out."},
+    }};
+
+} // namespace
+
+void gateway_metrics::observe(histogram which, duration took)
+{
+    auto& into = histograms_[static_cast<std::size_t>(which)];
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
+    std::size_t at = 0;
+    while (at < bounds_ms.size() && ms > bounds_ms[at])
+        ++at;
+    into.counts[at].fetch_add(1, std::memory_order_relaxed);
+    into.sum_us.fetch_add(took.count(), std::memory_order_relaxed);
+}
+
+std::string gateway_metrics::expose() const
+{
+    std::ostringstream out;
+    for (std::size_t at = 0; at < counter_rows.size(); ++at) {
+        const auto& row = counter_rows[at];
+        out << "# HELP rosemarydeck_" << row.name << ' ' << row.help
+            << "\n# TYPE rosemarydeck_" << row.name << " counter\n"
+            << "rosemarydeck_" << row.name << ' ' << counters_[at].load()
+            << '\n';
+    }
+    for (std::size_t at = 0; at < histogram_rows.size(); ++at) {
+        const auto& row = histogram_rows[at];
+        const auto& from = histograms_[at];
+        out << "# HELP rosemarydeck_" << row.name << ' ' << row.help
+            << "\n# TYPE rosemarydeck_" << row.name << " histogram\n";
+        std::uint64_t total = 0;
+        for (std::size_t bucket = 0; bucket < from.counts.size(); ++bucket) {
+            total += from.counts[bucket].load();
+            out << "rosemarydeck_" << row.name << "_bucket{le=\"";
+            if (bucket < bounds_ms.size())
+                out << bounds_ms[bucket];
+            else
+                out << "+Inf";
+            out << "\"} " << total << '\n';
+        }
+        out << "rosemarydeck_" << row.name << "_sum "
+            << from.sum_us.load() / 1'000 << "\nrosemarydeck_" << row.name
+            << "_count " << total << '\n';
+    }
+    return out.str();
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -0,0 +1,85 @@
+/** @file gateway_metrics_base.hpp Counters and latency histograms. */
+#pragma once
+
+#include "common/time_type.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace rosemarydeck
+{
+
+/** What is counted. Keep in step with the table in the source file. */
+enum class counter
+{
+    requests,
+    answers_served,
+    answers_late,
+    answers_failed,
+    refused_no_config,
+    refused_unauthorized,
+    refused_no_route,
+    refused_malformed,
+    refused_budget_spent,
+    refused_budget_unknown,
+    refused_no_engine,
+    refused_engines_full,
+    clients_gone,
+    sends,
+    repeats,
+    repeats_denied,
+    resumes,
+    engine_connections,
+    events_forwarded,
+    tokens_charged,
+    store_calls,
+    store_failures,
+    config_changes,
+    count_,
+};
+
+/** What is timed. */
+enum class histogram
+{
+    first_event,
+    whole_answer,
+    store_call,
+    count_,
+};
+
+/** Metrics of one process; usable from any thread without locks. */
+class gateway_metrics
+{
+public:
+    /** Adds to a counter. */
+    void add(counter which, std::uint64_t by = 1)
+    {
+        counters_[static_cast<std::size_t>(which)].fetch_add(
+            by, std::memory_order_relaxed);
+    }
+    /** Adds a reading to a histogram. */
+    void observe(histogram which, duration took);
+    /** @return All metrics in the text exposition format. */
+    [[nodiscard]] std::string expose() const;
+
+private:
+    /** Upper bounds of the buckets in milliseconds; the last has none. */
+    static constexpr std::array<std::int64_t, 12> bounds_ms{
+        2, 5, 10, 25, 50, 100, 250, 500, 1'000, 2'500, 5'000, 15'000};
+
+    struct buckets
+    {
+        std::array<std::atomic<std::uint64_t>, bounds_ms.size() + 1> counts{};
+        std::atomic<std::int64_t> sum_us{0};
+    };
+
+    std::array<std::atomic<std::uint64_t>,
+               static_cast<std::size_t>(counter::count_)>
+        counters_{};
+    std::array<buckets, static_cast<std::size_t>(histogram::count_)>
+        histograms_{};
+};
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/header_text_func.hpp
@@ -0,0 +1,46 @@
+/** @file header_text_func.hpp Headers as they go over the wire. */
+#pragma once
+
+#include <boost/beast/http/message.hpp>
+#include <string>
+
+namespace rosemarydeck
+{
+
+/** Appends field lines and the closing blank line. */
+inline void append_fields(std::string& text,
+                          const boost::beast::http::fields& fields)
+{
+    for (const auto& field : fields) {
+        text.append(field.name_string());
+        text += ": ";
+        text.append(field.value());
+        text += "\r\n";
+    }
+    text += "\r\n";
+}
+
+/** @return The request line and header. */
+inline std::string
+header_text(const boost::beast::http::request_header<>& header)
+{
+    std::string text(header.method_string());
+    text += ' ';
+    text.append(header.target());
+    text += " HTTP/1.1\r\n";
+    append_fields(text, header);
+    return text;
+}
+
+/** @return The status line and header. */
+inline std::string
+header_text(const boost::beast::http::response_header<>& header)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(header.result_int()) + ' ';
+    text.append(header.reason());
+    text += "\r\n";
+    append_fields(text, header);
+    return text;
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/traffic_context_type.hpp
@@ -0,0 +1,37 @@
+/** @file traffic_context_type.hpp What all connections of a thread share. */
+#pragma once
+
+#include "gateway/engine_pool_base.hpp"
+#include "gateway/event_log_base.hpp"
+#include "gateway/gateway_metrics_base.hpp"
+#include "gateway/gateway_settings_type.hpp"
+#include "ledger/wallet_base.hpp"
+#include "router/placement_base.hpp"
+#include "router/retry_budget_base.hpp"
+
+#include <functional>
+
+namespace rosemarydeck
+{
+
+/** State of the traffic thread; touched by no other. */
+struct traffic_context
+{
+    boost::asio::io_context& io;
+    gateway_settings settings;
+    wallet& purse;
+    event_log& log;
+    gateway_metrics& metrics;
+    /** Asks the control thread for more headroom soon. */
+    std::function<void()> want_grant;
+
+    runtime_clock clock{};
+    std::shared_ptr<const fleet_view> view{};
+    placement_book places{};
+    retry_budget retries{settings.retries};
+    engine_pool pool{io};
+    bool draining = false;
+    std::size_t open_requests = 0;
+};
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/ledger/ledger_json_func.cpp
@@ -0,0 +1,60 @@
+/** @file ledger_json_func.cpp JSON forms of this package's types. */
+#include "ledger/ledger_type.hpp"
+
+#include "common/json_func.hpp"
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+/** Writes a map with identifiers as keys as a JSON object. */
+template <class Map>
+nlohmann::json object_of(const Map& map)
+{
+    auto object = nlohmann::json::object();
+    for (const auto& [id, value] : map)
+        object[id.value()] = value;
+    return object;
+}
+
+/** Reads what object_of wrote; throws nlohmann::json exceptions. */
+template <class Map>
+void read_object(const nlohmann::json& json, Map& map)
+{
+    map.clear();
+    for (const auto& [id, value] : json.items())
+        map.emplace(typename Map::key_type(id),
+                    value.template get<typename Map::mapped_type>());
+}
+
+} // namespace
+
+ROSEMARYDECK_JSON(ledger_share, granted, spent, wanted)
+ROSEMARYDECK_JSON(ledger_member, vm, address, beat)
+
+void to_json(nlohmann::json& json, const ledger_account& value)
+{
+    json = {{"closed", value.closed}, {"shares", object_of(value.shares)}};
+}
+
+void from_json(const nlohmann::json& json, ledger_account& value)
+{
+    json.at("closed").get_to(value.closed);
+    read_object(json.at("shares"), value.shares);
+}
+
+void to_json(nlohmann::json& json, const ledger& value)
+{
+    json = {{"members", object_of(value.members)},
+            {"accounts", object_of(value.accounts)}};
+}
+
+void from_json(const nlohmann::json& json, ledger& value)
+{
+    read_object(json.at("members"), value.members);
+    read_object(json.at("accounts"), value.accounts);
+}
+
+} // namespace rosemarydeck
--- a/packages/platform/platform_type.hpp
+++ b/packages/object_service/object_call_type.hpp
@@ -1,4 +1,4 @@
-/** @file platform_type.hpp Calls to the platform's object service. */
+/** @file object_call_type.hpp Calls to the platform's object service. */
 #pragma once
 
 #include "common/error_type.hpp"
--- a/packages/platform/platform_codec_func.cpp
+++ b/packages/object_service/object_codec_func.cpp
@@ -1,5 +1,5 @@
-/** @file platform_codec_func.cpp The HTTP form of platform calls. */
-#include "platform/platform_codec_func.hpp"
+/** @file object_codec_func.cpp The HTTP form of platform calls. */
+#include "object_service/object_codec_func.hpp"
 
 #include "common/overload_func.hpp"
 
--- a/packages/platform/platform_codec_func.hpp
+++ b/packages/object_service/object_codec_func.hpp
@@ -1,7 +1,7 @@
-/** @file platform_codec_func.hpp The HTTP form of platform calls. */
+/** @file object_codec_func.hpp The HTTP form of platform calls. */
 #pragma once
 
-#include "platform/platform_type.hpp"
+#include "object_service/object_call_type.hpp"
 
 namespace rosemarydeck
 {
--- a/packages/platform/platform_json_func.cpp
+++ b/packages/object_service/object_json_func.cpp
@@ -1,5 +1,5 @@
-/** @file platform_json_func.cpp JSON forms of this package's types. */
-#include "platform/platform_type.hpp"
+/** @file object_json_func.cpp JSON forms of this package's types. */
+#include "object_service/object_call_type.hpp"
 
 #include "common/json_func.hpp"
 
--- a/packages/platform/object_store_base.cpp
+++ b/packages/object_service/object_store_base.cpp
@@ -1,5 +1,5 @@
 /** @file object_store_base.cpp The object service, kept in memory. */
-#include "platform/object_store_base.hpp"
+#include "object_service/object_store_base.hpp"
 
 #include "common/overload_func.hpp"
 
--- a/packages/platform/object_store_base.hpp
+++ b/packages/object_service/object_store_base.hpp
@@ -1,7 +1,7 @@
 /** @file object_store_base.hpp The object service, kept in memory. */
 #pragma once
 
-#include "platform/platform_type.hpp"
+#include "object_service/object_call_type.hpp"
 
 #include <map>
 
--- a/packages/platform/test/platform_test.cpp
+++ b/packages/object_service/test/object_service_test.cpp
@@ -1,6 +1,7 @@
-/** @file platform_test.cpp The object store and the HTTP form of calls. */
-#include "platform/object_store_base.hpp"
-#include "platform/platform_codec_func.hpp"
+/** @file object_service_test.cpp The object store and the HTTP form of calls.
+ */
+#include "object_service/object_codec_func.hpp"
+#include "object_service/object_store_base.hpp"
 
 #include <catch2/catch.hpp>
 
--- /dev/null
+++ b/packages/router/placement_base.cpp
@@ -0,0 +1,155 @@
+/** @file placement_base.cpp Chooses an engine for a request. */
+#include "router/placement_base.hpp"
+
+#include "common/hash_func.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+placement_book::placement_book(placement_options options) : options_(options) {}
+
+token_count placement_book::work_of(const placement_request& request) const
+{
+    return request.input + request.output * options_.output_token_weight;
+}
+
+const placement_book::record* placement_book::find(const server_id& id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+std::uint32_t placement_book::open_at(const server_id& engine) const
+{
+    const auto* known = find(engine);
+    return known == nullptr ? 0 : known->open;
+}
+
+std::vector<const engine_info*>
+placement_book::candidates(std::span<const engine_info> engines,
+                           const std::set<server_id>& tried,
+                           time_point now) const
+{
+    std::vector<const engine_info*> sound;
+    std::vector<const engine_info*> any;
+    for (const auto& engine : engines) {
+        if (tried.count(engine.id))
+            continue;
+        const auto* known = find(engine.id);
+        any.push_back(&engine);
+        if (known == nullptr || known->retry_at <= now)
+            sound.push_back(&engine);
+    }
+    return sound.empty() ? any : sound;
+}
+
+const engine_info*
+placement_book::least_loaded(const std::vector<const engine_info*>& from,
+                             std::uint64_t salt) const
+{
+    const engine_info* best = nullptr;
+    double best_load = 0;
+    std::uint64_t best_tie = 0;
+    for (const auto* engine : from) {
+        const auto* known = find(engine->id);
+        const auto load =
+            known == nullptr
+                ? 0.0
+                : (static_cast<double>(known->open) +
+                   static_cast<double>(known->work) / 10'000.0) /
+                      std::max(1.0, static_cast<double>(engine->slots));
+        const auto tie = mix_bits(stable_hash(engine->id.value()) ^ salt);
+        if (best == nullptr || load < best_load ||
+            (load == best_load && tie < best_tie)) {
+            best = engine;
+            best_load = load;
+            best_tie = tie;
+        }
+    }
+    return best;
+}
+
+std::optional<placement>
+placement_book::place(const placement_request& request,
+                      std::span<const engine_info> engines,
+                      const std::set<server_id>& tried, time_point now)
+{
+    const auto from = candidates(engines, tried, now);
+    if (from.empty())
+        return std::nullopt;
+    placement chosen;
+    const auto* pick = least_loaded(from, mix_bits(++turn_));
+    if (!request.prefix_home.empty()) {
+        std::vector<std::string> names;
+        token_count total = 0;
+        for (const auto* engine : from) {
+            names.push_back(engine->id.value());
+            const auto* known = find(engine->id);
+            total += known == nullptr ? 0 : known->work;
+        }
+        const auto order = rendezvous_order(request.prefix_home, names);
+        const auto* home = from[order.front()];
+        const auto mean =
+            static_cast<double>(total) / static_cast<double>(from.size());
+        const auto bound = options_.home_load_factor * mean +
+                           static_cast<double>(options_.home_slack);
+        const auto* known = find(home->id);
+        const auto load = known == nullptr ? 0 : known->work;
+        if (static_cast<double>(load) <= bound)
+            pick = home;
+        else
+            chosen.fetch_from = *home;
+    }
+    auto& counted = records_[pick->id];
+    ++counted.open;
+    counted.work += work_of(request);
+    chosen.engine = *pick;
+    if (chosen.fetch_from && chosen.fetch_from->id == pick->id)
+        chosen.fetch_from.reset();
+    return chosen;
+}
+
+void placement_book::release(const server_id& engine,
+                             const placement_request& request,
+                             send_outcome outcome, time_point now)
+{
+    auto& known = records_[engine];
+    known.open -= known.open > 0 ? 1 : 0;
+    known.work = std::max<token_count>(0, known.work - work_of(request));
+    switch (outcome) {
+    case send_outcome::served:
+        known.failures = 0;
+        known.retry_at = {};
+        break;
+    case send_outcome::refused:
+        known.retry_at = now + options_.first_backoff / 2;
+        break;
+    case send_outcome::unreachable:
+    case send_outcome::broken: {
+        const auto shift = std::min<std::uint32_t>(known.failures++, 4);
+        known.retry_at = now + std::min(options_.longest_backoff,
+                                        options_.first_backoff * (1U << shift));
+        break;
+    }
+    case send_outcome::wrong_place:
+        known.retry_at = now + options_.longest_backoff;
+        break;
+    case send_outcome::abandoned:
+        break;
+    }
+}
+
+void placement_book::keep_only(const fleet_view& view)
+{
+    std::set<server_id> listed;
+    for (const auto& [service, engines] : view.engines)
+        for (const auto& engine : engines)
+            listed.insert(engine.id);
+    std::erase_if(records_, [&](const auto& one) {
+        return one.second.open == 0 && !listed.count(one.first);
+    });
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/router/request_type.hpp
@@ -0,0 +1,69 @@
+/** @file request_type.hpp What a request and an answer say of themselves. */
+#pragma once
+
+#include "router/fleet_type.hpp"
+
+namespace rosemarydeck
+{
+
+/** One part of a prompt; requests that share leading parts share their cache.
+ */
+struct prompt_part
+{
+    std::string id;
+    token_count tokens = 0;
+
+    bool operator==(const prompt_part&) const = default;
+};
+
+/** What the router needs to know of a request. */
+struct request_head
+{
+    std::string id; ///< Of this client attempt.
+    std::string host;
+    std::string method;
+    std::string target;
+    std::string key;
+    std::optional<milliseconds> deadline; ///< How long the client will wait.
+    std::optional<std::uint64_t> resume_after; ///< Last event the client has.
+    token_count input_tokens = 0;
+    token_count max_output_tokens = 0;
+    std::vector<prompt_part> prompt;
+
+    bool operator==(const request_head&) const = default;
+
+    /** @return Key of the part that no other session shares, or empty. */
+    [[nodiscard]] std::string own_part() const
+    {
+        return prompt.empty() ? std::string() : prompt.back().id;
+    }
+    /** @return Most tokens that the request may be charged. */
+    [[nodiscard]] token_count largest_charge() const
+    {
+        return input_tokens + max_output_tokens;
+    }
+};
+
+/** What is added to a request on its way to one engine. */
+struct send_order
+{
+    server_id expected_engine;
+    std::optional<customer_id> customer;
+    milliseconds time_left{};
+    int priority = 0;
+    std::optional<std::uint64_t> resume_after;
+    std::optional<std::string> fetch_from; ///< IP:PORT of the prompt's home.
+};
+
+/** What an engine's answer says of itself. */
+struct answer_head
+{
+    unsigned status = 0;
+    bool sealed = false;      ///< Carries the engine's signature.
+    bool not_run = false;     ///< The engine states that it did not run it.
+    bool encoded = false;     ///< The body is not the engine's own.
+    bool own_request = false; ///< It names the request that was sent.
+    std::optional<std::chrono::seconds> idle_timeout; ///< Of the connection.
+};
+
+} // namespace rosemarydeck
--- a/packages/web/caller_operator.cpp
+++ b/packages/web/caller_operator.cpp
@@ -1,6 +1,6 @@
 /** @file caller_operator.cpp Operators' calls on a caller's connection. */
 #include "config/config_check_func.hpp"
-#include "platform/platform_codec_func.hpp"
+#include "object_service/object_codec_func.hpp"
 #include "web/caller_session_base.hpp"
 #include "web/reply_func.hpp"
 
--- a/packages/web/http_client_base.cpp
+++ b/packages/web/http_client_base.cpp
@@ -2,6 +2,7 @@
 #include "web/http_client_base.hpp"
 
 #include "web/fiber_scheduler_base.hpp"
+#include "web/socket_option_func.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/read.hpp>
@@ -17,6 +18,8 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t max_idle = 8;
+/** Long answers may be silent; only the peer's kernel has to be alive. */
+constexpr auto dead_peer_limit = std::chrono::seconds(2);
 constexpr std::size_t max_answer_bytes = 64 * 1'048'576;
 
 error unavailable(const std::string& step, const http_peer& peer,
@@ -49,7 +52,7 @@
     if (done.fault)
         return tl::unexpected(
             unavailable("connect", peer, done.fault.message()));
-    stream.socket().set_option(tcp::no_delay(true), fault);
+    watch_for_dead_peer(stream.socket(), dead_peer_limit);
     return connection;
 }
 
--- a/tests/standin/standin_platform.cpp
+++ b/tests/standin/standin_platform.cpp
@@ -1,6 +1,6 @@
 /** @file standin_platform.cpp The platform's object service, by script. */
-#include "platform/object_store_base.hpp"
-#include "platform/platform_codec_func.hpp"
+#include "object_service/object_codec_func.hpp"
+#include "object_service/object_store_base.hpp"
 #include "standin_server.hpp"
 
 #include <atomic>
--- a/tests/support/core_bag.hpp
+++ b/tests/support/core_bag.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/decision_core_base.hpp"
-#include "platform/object_store_base.hpp"
+#include "object_service/object_store_base.hpp"
 
 #include <functional>
 #include <map>
