Keep the configuration that a request was admitted under

Ruled out: fiber stack size, cancelled timers. Change: the exchange holds the configuration of its admission.

--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -72,7 +72,8 @@
         refuse(503, counter::refused_no_config, "no_configuration", soon);
         return false;
     }
-    route_ = view_->config->route(head_.host, head_.target);
+    config_ = view_->config;
+    route_ = config_->route(head_.host, head_.target);
     if (route_ == nullptr) {
         refuse(404, counter::refused_no_route, "no_route");
         return false;
@@ -96,10 +97,9 @@
 
 bool exchange::authorize()
 {
-    const auto& config = *view_->config;
-    if (!route_->needs_key || config.config().customers.empty())
+    if (!route_->needs_key || config_->config().customers.empty())
         return true;
-    customer_ = config.customer_of(head_.key);
+    customer_ = config_->customer_of(head_.key);
     if (customer_ != nullptr)
         return true;
     refuse(401, counter::refused_unauthorized, "unknown_key");
@@ -189,7 +189,7 @@
         return;
     // What may have run is charged its prompt; output as it was delivered.
     token_count used = may_have_run_ ? head_.input_tokens : 0;
-    const auto* service = view_->config->service(service_);
+    const auto* service = config_->service(service_);
     const auto per_event = service != nullptr && service->model
                                ? service->model->tokens_per_event
                                : head_.max_output_tokens;
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -87,7 +87,8 @@
     client_stream& client_;
     const client_request& request_;
     request_head head_;
-    std::shared_ptr<const fleet_view> view_;
+    std::shared_ptr<const fleet_view> view_;     ///< Newest one.
+    std::shared_ptr<const config_index> config_; ///< Of the admission.
     const route_rule* route_ = nullptr;
     const customer_rule* customer_ = nullptr;
     service_id service_;
