Open grants with silence and close ended runs at what evidence allows

Headroom divides most of what is left by demand. A wallet is bound by every write that may be in force.

--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -3,6 +3,8 @@
 
 #include "web/fiber_scheduler_base.hpp"
 
+#include <ctime>
+
 namespace rosemarydeck
 {
 
@@ -13,11 +15,30 @@
 constexpr auto renew_every = milliseconds(2'000);
 /** Least time between renewals that requests ask for. */
 constexpr auto renew_apart = milliseconds(100);
+/** Time between renewals, and for how long after the start, while runs that
+ *  have ended wait to be closed. */
+constexpr auto evidence_pause = milliseconds(300);
+constexpr auto evidence_span = milliseconds(5'000);
 /** Tries of one renewal against other VMs' writes. */
 constexpr int max_conflicts = 6;
 
+std::int64_t to_ms(const timespec& time)
+{
+    return static_cast<std::int64_t>(time.tv_sec) * 1'000 +
+           time.tv_nsec / 1'000'000;
+}
+
 } // namespace
 
+clock_reading control_service::read_clocks() const
+{
+    timespec wall{};
+    timespec boot{};
+    ::clock_gettime(CLOCK_REALTIME, &wall);
+    ::clock_gettime(CLOCK_BOOTTIME, &boot);
+    return {clock_.now(), to_ms(wall), to_ms(boot)};
+}
+
 void control_service::renew_soon()
 {
     renew_wanted_ = true;
@@ -29,8 +50,12 @@
     while (!closing_) {
         if (config_ && !closing_)
             renew_budgets();
-        const auto pause = renew_wanted_ ? renew_apart : renew_every;
+        auto pause = renew_wanted_ ? renew_apart : renew_every;
         renew_wanted_ = false;
+        // After a restart each write adds to the evidence for the others.
+        if (has_ended_runs(keeper_.current()) &&
+            clock_.now() - started_ < evidence_span)
+            pause = evidence_pause;
         renew_timer_.expires_after(pause);
         const auto waited = await_io(
             [&](auto handler) { renew_timer_.async_wait(std::move(handler)); });
@@ -52,15 +77,15 @@
 
 void control_service::renew_budgets()
 {
-    const auto live_before = keeper_.live_runs();
+    const auto live_before = keeper_.live_vms();
     last_renewal_ = clock_.now();
     for (int tries = 0; tries < max_conflicts && !closing_; ++tries) {
         // The first read may be old; a conflict brings the newest.
         if (!keeper_.fresh() && !read_ledger(keeper_.joined()))
             return;
-        if (write_ledger(keeper_.prepare(prepaid(), clock_.now()))) {
+        if (write_ledger(keeper_.prepare(prepaid(), read_clocks()))) {
             note_rests();
-            if (live_before != keeper_.live_runs())
+            if (live_before != keeper_.live_vms())
                 publish();
             return;
         }
@@ -129,7 +154,7 @@
 void control_service::note_rests()
 {
     for (const auto& [customer, total] : prepaid())
-        purse_.note_rest(customer, keeper_.unspent_of(customer, total));
+        purse_.note_rest(customer, unspent(keeper_.current(), customer, total));
 }
 
 void control_service::close_budgets()
@@ -141,7 +166,7 @@
             return;
         if (!keeper_.fresh() && !read_ledger(false))
             return;
-        if (write_ledger(keeper_.prepare_close(clock_.now()))) {
+        if (write_ledger(keeper_.prepare_close(read_clocks()))) {
             log_.write("budgets_returned", {});
             return;
         }
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -5,6 +5,7 @@
 #include "web/fiber_scheduler_base.hpp"
 
 #include <boost/fiber/all.hpp>
+#include <fstream>
 
 namespace rosemarydeck
 {
@@ -17,11 +18,23 @@
 constexpr auto retry_pause = std::chrono::milliseconds(100);
 constexpr auto lapse_check = std::chrono::milliseconds(200);
 
+/** @return The kernel's name for this start of the VM; empty if it has none.
+ */
+std::string boot_name()
+{
+    std::ifstream file("/proc/sys/kernel/random/boot_id");
+    std::string name;
+    std::getline(file, name);
+    return name;
+}
+
 ledger_keeper_options keeper_options(const control_options& options)
 {
     ledger_keeper_options result;
     result.self = options.self;
-    result.member = {options.settings.vm, options.settings.control.text(), 0};
+    result.member.vm = options.settings.vm;
+    result.member.address = options.settings.control.text();
+    result.member.boot = boot_name();
     return result;
 }
 
@@ -206,7 +219,7 @@
     auto view = std::make_shared<fleet_view>();
     view->config = config_;
     view->engines = directory_.usable();
-    view->live_vms = keeper_.live_runs();
+    view->live_vms = keeper_.live_vms();
     options_.publish(std::move(view));
 }
 
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -58,6 +58,7 @@
     bool write_ledger(const ledger_write& write);
     [[nodiscard]] std::map<customer_id, token_count> prepaid() const;
     void note_rests();
+    [[nodiscard]] clock_reading read_clocks() const;
 
     boost::asio::io_context& io_;
     control_options options_;
@@ -74,6 +75,7 @@
     boost::asio::steady_timer renew_timer_;
     bool renew_wanted_ = false;
     bool closing_ = false;
+    time_point started_ = clock_.now();
     time_point last_renewal_{};
 };
 
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -127,7 +127,8 @@
     if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt)
         return true;
     const auto charge = head_.largest_charge();
-    if (shared_.purse.reserve(customer_->id, charge) || reserve_waiting()) {
+    if (shared_.purse.reserve(customer_->id, charge, started_) ||
+        reserve_waiting()) {
         reserved_ = charge;
         return true;
     }
@@ -148,7 +149,7 @@
     shared_.want_grant();
     while (shared_.clock.now() < until && !client_.closed()) {
         fiber_sleep(shared_.io, grant_check);
-        if (shared_.purse.reserve(customer_->id, charge))
+        if (shared_.purse.reserve(customer_->id, charge, shared_.clock.now()))
             return true;
     }
     return false;
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -1,6 +1,8 @@
 /** @file ledger_cmd.cpp Commands on the ledger value, and its queries. */
 #include "ledger/ledger_cmd.hpp"
 
+#include "ledger/share_limit_func.hpp"
+
 #include <algorithm>
 
 namespace rosemarydeck
@@ -9,104 +11,154 @@
 namespace
 {
 
-/** Requests of the largest size that headroom covers besides the rate. */
-constexpr double largest_in_flight = 3;
+/** Writes of a run that are kept as evidence for others' ends. */
+constexpr std::size_t max_marks = 5;
 
-/** Charges all that ended runs were granted: they may have spent it. */
-void fold(ledger& value, const instance_id& run)
+/** Closes a run at the most that it can have spent. */
+void fold(ledger& value, const instance_id& run, duration silence)
 {
-    value.members.erase(run);
+    value.members[run].closed = true;
     for (auto& [customer, account] : value.accounts) {
         const auto share = account.shares.find(run);
         if (share == account.shares.end())
             continue;
-        account.closed += share->second.granted;
+        account.closed += share_limit(share->second, silence);
         account.shares.erase(share);
     }
 }
 
 void fold_ended(ledger& value, const ledger_renewal& wish)
 {
-    std::set<instance_id> ended = wish.silent;
-    for (const auto& [run, member] : value.members)
-        if (member.vm == wish.member.vm)
-            ended.insert(run);
-    ended.erase(wish.self);
-    for (const auto& run : ended)
-        fold(value, run);
+    std::map<instance_id, duration> ended;
+    for (const auto& [run, member] : value.members) {
+        if (run == wish.self)
+            continue;
+        const auto silence = longest_silence(value, wish, run);
+        if (silence)
+            ended[run] = *silence;
+        else if (wish.silent.count(run))
+            ended[run] = duration::max();
+    }
+    for (const auto& [run, silence] : ended)
+        fold(value, run, silence);
+    for (const auto& run : wish.silent)
+        value.members.erase(run);
 }
 
-token_count wanted_by(const wallet_usage& usage, const ledger_renewal& wish,
-                      token_count prepaid)
+/** Puts the writer's own entry in order. */
+void sign(ledger& value, const ledger_renewal& wish)
 {
-    if (usage.spent == 0 && usage.reserved == 0 && usage.missing == 0)
-        return static_cast<token_count>(static_cast<double>(prepaid) *
-                                        wish.first_share);
-    const auto wanted = usage.rate * wish.cover_seconds +
-                        static_cast<double>(usage.largest) * largest_in_flight;
-    return std::max(static_cast<token_count>(wanted), usage.missing);
+    ++value.turn;
+    auto& entry = value.members[wish.self];
+    auto marks = std::move(entry.marks);
+    if (entry.turn != 0)
+        marks.push_back({entry.turn, entry.wall_ms});
+    if (marks.size() > max_marks)
+        marks.erase(marks.begin());
+    const auto first_turn =
+        entry.first_turn == 0 ? value.turn : entry.first_turn;
+    entry = wish.member;
+    entry.turn = value.turn;
+    entry.first_turn = first_turn;
+    entry.marks = std::move(marks);
 }
 
-/** Writes one customer's share. @return What is granted from now on. */
-token_count renew_share(ledger_account& account, const ledger_renewal& wish,
-                        const wallet_usage& usage, token_count prepaid)
+token_count wanted_by(const wallet_usage& usage, const ledger_policy& policy)
+{
+    const auto wanted =
+        usage.rate * policy.cover_seconds + static_cast<double>(usage.largest);
+    return std::max(
+        {static_cast<token_count>(wanted), usage.missing, policy.floor});
+}
+
+/** Sums over an account's shares. */
+struct account_sums
 {
-    auto& own = account.shares[wish.self];
-    own.spent = usage.spent;
-    own.wanted = wanted_by(usage, wish, prepaid);
     token_count others_granted = 0;
-    token_count all_spent = account.closed;
-    token_count all_wanted = 0;
+    token_count spent = 0;
+    token_count wanted = 0;
+};
+
+account_sums sum_up(const ledger_account& account, const instance_id& self)
+{
+    account_sums sums;
+    sums.spent = account.closed;
     for (const auto& [run, share] : account.shares) {
-        others_granted += run == wish.self ? 0 : share.granted;
-        all_spent += share.spent;
-        all_wanted += share.wanted;
+        sums.others_granted += run == self ? 0 : share.granted;
+        sums.spent += share.spent;
+        sums.wanted += share.wanted;
     }
-    const auto rest = std::max<token_count>(0, prepaid - all_spent);
-    auto headroom = own.wanted;
-    if (all_wanted > rest)
-        headroom = static_cast<token_count>(static_cast<double>(rest) *
-                                            static_cast<double>(own.wanted) /
-                                            static_cast<double>(all_wanted));
-    headroom = std::max(headroom, usage.missing);
-    const auto free = prepaid - account.closed - others_granted;
-    const auto held = usage.spent + usage.reserved;
-    own.granted = std::max(held, std::min(usage.spent + headroom, free));
-    // What is held was granted before, so it is within what is free unless
-    // the operator has cut the budget.
-    return own.granted;
+    return sums;
+}
+
+std::size_t vms_in(const ledger& value)
+{
+    std::set<vm_id> vms;
+    for (const auto& [run, member] : value.members)
+        vms.insert(member.vm);
+    return std::max<std::size_t>(1, vms.size());
+}
+
+void renew_share(ledger_account& account, const ledger_renewal& wish,
+                 const wallet_usage& usage, token_count prepaid,
+                 std::size_t vms)
+{
+    const auto& policy = wish.policy;
+    auto& own = account.shares[wish.self];
+    own.spent = usage.spent;
+    own.held = usage.reserved;
+    own.wanted = wanted_by(usage, policy);
+    const auto sums = sum_up(account, wish.self);
+    const auto rest = std::max<token_count>(0, prepaid - sums.spent);
+    auto part = static_cast<double>(own.wanted) /
+                static_cast<double>(std::max<token_count>(1, sums.wanted));
+    // Before demand is known, the others' is not known either.
+    if (usage.rate <= 0)
+        part = std::min(part, 1.0 / static_cast<double>(vms));
+    const auto spread = static_cast<token_count>(policy.spread_share * part *
+                                                 static_cast<double>(rest));
+    const auto free = prepaid - account.closed - sums.others_granted;
+    const auto wish_total =
+        own.spent + std::max(spread, own.held + usage.missing);
+    own.granted = std::max(own.spent + own.held, std::min(wish_total, free));
+    own.open =
+        std::max(usage.missing,
+                 static_cast<token_count>(usage.rate * policy.open_seconds +
+                                          static_cast<double>(usage.largest) *
+                                              policy.open_largest));
+    own.open = std::max(own.open, policy.floor);
+    own.slope = static_cast<token_count>(usage.rate * policy.slope_factor) + 1;
 }
 
 } // namespace
 
-renewed_ledger renew(const ledger& now, const ledger_renewal& wish)
+ledger renew(const ledger& now, const ledger_renewal& wish)
 {
-    renewed_ledger result{now, {}};
-    fold_ended(result.next, wish);
-    result.next.members[wish.self] = wish.member;
+    auto next = now;
+    fold_ended(next, wish);
+    sign(next, wish);
     for (const auto& [customer, prepaid] : wish.prepaid) {
         const auto known = wish.usage.find(customer);
-        const auto usage =
-            known == wish.usage.end() ? wallet_usage{} : known->second;
-        result.granted[customer] =
-            renew_share(result.next.accounts[customer], wish, usage, prepaid);
+        renew_share(next.accounts[customer], wish,
+                    known == wish.usage.end() ? wallet_usage{} : known->second,
+                    prepaid, vms_in(next));
     }
-    return result;
+    return next;
 }
 
 ledger close_run(const ledger& now, const instance_id& self,
                  const std::map<customer_id, token_count>& spent)
 {
     auto next = now;
+    ++next.turn;
     next.members.erase(self);
     for (auto& [customer, account] : next.accounts) {
         const auto share = account.shares.find(self);
         if (share == account.shares.end())
             continue;
         const auto own = spent.find(customer);
-        account.closed += own == spent.end()
-                              ? share->second.granted
-                              : std::min(own->second, share->second.granted);
+        account.closed +=
+            own == spent.end() ? share->second.granted : own->second;
         account.shares.erase(share);
     }
     return next;
@@ -118,10 +170,7 @@
     const auto found = now.accounts.find(customer);
     if (found == now.accounts.end())
         return prepaid;
-    token_count spent = found->second.closed;
-    for (const auto& [run, share] : found->second.shares)
-        spent += share.spent;
-    return prepaid - spent;
+    return prepaid - sum_up(found->second, {}).spent;
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -4,41 +4,67 @@
 #include "ledger/ledger_type.hpp"
 #include "ledger/wallet_base.hpp"
 
+#include <deque>
 #include <set>
 
 namespace rosemarydeck
 {
 
+/** How budgets are divided. */
+struct ledger_policy
+{
+    double cover_seconds = 10;  ///< Spending that headroom outlasts.
+    double open_seconds = 3;    ///< Spending that is open at once.
+    double open_largest = 1.5;  ///< Largest requests open besides.
+    double slope_factor = 1.5;  ///< Opening against the rate.
+    double spread_share = 0.85; ///< Of what is left, divided by demand.
+    token_count floor = 12'000; ///< Wanted without any traffic, a request.
+};
+
+/** One write of this run's that the ledger has taken. */
+struct own_write
+{
+    std::uint64_t turn = 0;
+    std::int64_t boot_ms = 0; ///< Of the VM, when it was sent.
+};
+
 /** One VM's wish for its part of every budget. */
 struct ledger_renewal
 {
     instance_id self;
-    ledger_member member;
+    ledger_member member; ///< With the VM's clocks as they are now.
     std::map<customer_id, wallet_usage> usage;
     std::map<customer_id, token_count> prepaid; ///< From the configuration.
     std::set<instance_id> silent; ///< Runs that have long stopped writing.
-    double cover_seconds = 12;    ///< Spending that headroom should outlast.
-    double first_share = 0.05;    ///< Of prepaid, before any traffic is seen.
+    std::deque<own_write> own_writes;
+    ledger_policy policy;
 };
 
-/** A ledger to be written, and what it grants to the writer. */
-struct renewed_ledger
-{
-    ledger next;
-    std::map<customer_id, token_count> granted;
-};
+/**
+ * Gives a VM its part of every budget: what it has spent, and headroom by its
+ * part of all demand. Closes runs that are over at what they can have spent
+ * by the time that they were gone.
+ */
+ledger renew(const ledger& now, const ledger_renewal& wish);
 
 /**
- * Gives a VM its part of every budget: what it has spent, and headroom for the
- * time that it may be alone. Where the budget can't give everyone that, the
- * rest is divided in proportion to what each wants.
+ * @param run A run that a newer one of its VM has replaced.
+ * @return Longest time that can lie between the run's last write and its end:
+ *         by the VM's own clock if it has not been restarted, by the caller's
+ *         clock if it wrote before the run did, or by the time of day on more
+ *         than half of the VMs; none if there is no such evidence yet.
  */
-renewed_ledger renew(const ledger& now, const ledger_renewal& wish);
+std::optional<duration> longest_silence(const ledger& now,
+                                        const ledger_renewal& wish,
+                                        const instance_id& run);
 
 /** Ends a run: its charges are closed and its headroom returns. */
 ledger close_run(const ledger& now, const instance_id& self,
                  const std::map<customer_id, token_count>& spent);
 
+/** @return True if runs wait for evidence of what they have spent. */
+bool has_ended_runs(const ledger& now);
+
 /** @return Tokens of a budget that no run has reported as spent. */
 token_count unspent(const ledger& now, const customer_id& customer,
                     token_count prepaid);
--- a/packages/ledger/ledger_json_func.cpp
+++ b/packages/ledger/ledger_json_func.cpp
@@ -31,8 +31,10 @@
 
 } // namespace
 
-ROSEMARYDECK_JSON(ledger_share, granted, spent, wanted)
-ROSEMARYDECK_JSON(ledger_member, vm, address, beat)
+ROSEMARYDECK_JSON(ledger_share, granted, spent, held, open, slope, wanted)
+ROSEMARYDECK_JSON(ledger_mark, turn, wall_ms)
+ROSEMARYDECK_JSON(ledger_member, vm, address, beat, turn, first_turn, wall_ms,
+                  boot_ms, boot, marks, closed)
 
 void to_json(nlohmann::json& json, const ledger_account& value)
 {
@@ -47,12 +49,14 @@
 
 void to_json(nlohmann::json& json, const ledger& value)
 {
-    json = {{"members", object_of(value.members)},
+    json = {{"turn", value.turn},
+            {"members", object_of(value.members)},
             {"accounts", object_of(value.accounts)}};
 }
 
 void from_json(const nlohmann::json& json, ledger& value)
 {
+    json.at("turn").get_to(value.turn);
     read_object(json.at("members"), value.members);
     read_object(json.at("accounts"), value.accounts);
 }
--- a/packages/ledger/ledger_keeper_base.cpp
+++ b/packages/ledger/ledger_keeper_base.cpp
@@ -6,56 +6,78 @@
 namespace rosemarydeck
 {
 
+namespace
+{
+
+/** Writes that evidence and late answers may refer to. */
+constexpr std::size_t max_remembered = 32;
+
+} // namespace
+
 ledger_keeper::ledger_keeper(ledger_keeper_options options, wallet& purse)
     : options_(std::move(options)), purse_(purse)
 {
 }
 
-token_count ledger_keeper::burnt(const customer_id& customer) const
+token_count ledger_keeper::offset(const customer_id& customer) const
+{
+    const auto found = offsets_.find(customer);
+    return found == offsets_.end() ? 0 : found->second;
+}
+
+std::map<customer_id, wallet_usage> ledger_keeper::usage(time_point now)
 {
-    const auto found = burnt_.find(customer);
-    return found == burnt_.end() ? 0 : found->second;
+    auto result = purse_.read(now);
+    for (auto& [customer, used] : result) {
+        const auto total = used.spent + used.reserved;
+        used.spent = std::max<token_count>(0, used.spent - offset(customer));
+        used.reserved =
+            std::max<token_count>(0, total - offset(customer) - used.spent);
+    }
+    return result;
 }
 
 ledger_write
 ledger_keeper::prepare(const std::map<customer_id, token_count>& prepaid,
-                       time_point now)
+                       const clock_reading& clock)
 {
+    auto& member = options_.member;
+    ++member.beat;
+    member.wall_ms = clock.wall_ms;
+    member.boot_ms = clock.boot_ms;
     ledger_renewal wish;
     wish.self = options_.self;
-    wish.member = options_.member;
-    wish.member.beat = ++options_.member.beat;
+    wish.member = member;
     wish.prepaid = prepaid;
-    wish.cover_seconds = options_.cover_seconds;
-    wish.first_share = options_.first_share;
-    wish.usage = purse_.read(now);
-    for (auto& [customer, usage] : wish.usage) {
-        // Spending within closed grants is charged already.
-        const auto closed = std::min(burnt(customer), usage.spent);
-        usage.spent -= closed;
-        usage.reserved = std::max<token_count>(
-            0, usage.reserved - (burnt(customer) - closed));
-    }
+    wish.policy = options_.policy;
+    wish.own_writes = own_writes_;
+    wish.usage = usage(clock.now);
     for (const auto& [run, seen] : sightings_)
-        if (now - seen.seen > options_.silent_after)
+        if (clock.now - seen.seen > options_.silent_after)
             wish.silent.insert(run);
-    auto renewed = renew(current_, wish);
-    for (const auto& [customer, granted] : renewed.granted) {
-        // A reservation may have been made since the wallet was read.
-        const auto in_force = purse_.lower(customer, granted + burnt(customer));
-        auto& share = renewed.next.accounts[customer].shares[options_.self];
-        share.granted = std::max(share.granted, in_force - burnt(customer));
+    auto next = renew(current_, wish);
+    for (const auto& [customer, total] : prepaid) {
+        auto& share = next.accounts[customer].shares[options_.self];
+        wallet_terms terms{share, clock.now, offset(customer)};
+        purse_.propose(customer, terms);
+        share = terms.share;
     }
-    pending_ = ledger_write{std::move(renewed.next), revision_};
+    sent_.push_back({member.beat, clock.now});
+    if (sent_.size() > max_remembered)
+        sent_.pop_front();
+    pending_ = ledger_write{std::move(next), revision_};
     return *pending_;
 }
 
-ledger_write ledger_keeper::prepare_close(time_point now)
+ledger_write ledger_keeper::prepare_close(const clock_reading& clock)
 {
     std::map<customer_id, token_count> spent;
-    for (const auto& [customer, usage] : purse_.read(now)) {
-        const auto in_force = purse_.lower(customer, 0);
-        spent[customer] = std::max<token_count>(0, in_force - burnt(customer));
+    for (const auto& [customer, used] : usage(clock.now)) {
+        // Nothing more may be reserved, whatever becomes of this write.
+        wallet_terms none{{}, clock.now, offset(customer)};
+        none.share.spent = used.spent;
+        purse_.propose(customer, none);
+        spent[customer] = none.share.spent + none.share.held;
     }
     pending_ =
         ledger_write{close_run(current_, options_.self, spent), revision_};
@@ -68,10 +90,16 @@
         return;
     revision_ = revision;
     doubtful_.reset();
-    const auto done = std::move(pending_->next);
+    auto done = std::move(pending_->next);
     pending_.reset();
-    joined_ = true;
-    take_over(done, now);
+    const auto own = done.members.find(options_.self);
+    if (own != done.members.end()) {
+        joined_ = true;
+        own_writes_.push_back({own->second.turn, own->second.boot_ms});
+        if (own_writes_.size() > max_remembered)
+            own_writes_.pop_front();
+    }
+    take_over(std::move(done), now);
 }
 
 void ledger_keeper::refreshed(std::optional<ledger> current,
@@ -81,10 +109,9 @@
     revision_ = current ? revision : 0;
     fresh_ = true;
     if (doubtful_ && *doubtful_ == revision_) {
-        // The lost write may still be done; nothing may be raised by it yet.
-        if (current)
-            current_ = *std::move(current);
-        return;
+        // The lost write may still be done, so its share goes on to bind.
+        current_ = current ? *std::move(current) : ledger{};
+        return note_sightings(now);
     }
     doubtful_.reset();
     take_over(current ? *std::move(current) : ledger{}, now);
@@ -98,18 +125,47 @@
     fresh_ = false;
 }
 
-void ledger_keeper::take_over(const ledger& current, time_point now)
+void ledger_keeper::take_over(ledger current, time_point now)
 {
-    if (joined_ && current_.members.count(options_.self) &&
-        !current.members.count(options_.self))
-        for (const auto& [customer, usage] : purse_.read(now))
-            burnt_[customer] = usage.granted;
-    current_ = current;
+    current_ = std::move(current);
+    const auto own = current_.members.find(options_.self);
+    if (joined_ && (own == current_.members.end() || own->second.closed))
+        start_over();
+    else
+        bind_wallet();
+    note_sightings(now);
+}
+
+void ledger_keeper::bind_wallet()
+{
+    const auto own = current_.members.find(options_.self);
+    if (own == current_.members.end())
+        return;
+    const auto write =
+        std::find_if(sent_.begin(), sent_.end(), [&](const auto& one) {
+            return one.beat == own->second.beat;
+        });
+    // An older write than those remembered opens from when it is seen.
+    if (write == sent_.end())
+        return;
     for (const auto& [customer, account] : current_.accounts) {
-        const auto own = account.shares.find(options_.self);
-        if (own != account.shares.end())
-            purse_.confirm(customer, own->second.granted + burnt(customer));
+        const auto share = account.shares.find(options_.self);
+        if (share != account.shares.end())
+            purse_.confirm(customer,
+                           {share->second, write->sent, offset(customer)});
     }
+}
+
+void ledger_keeper::start_over()
+{
+    joined_ = false;
+    own_writes_.clear();
+    for (const auto& [customer, account] : current_.accounts)
+        offsets_[customer] = purse_.restart(customer);
+}
+
+void ledger_keeper::note_sightings(time_point now)
+{
     for (const auto& [run, member] : current_.members) {
         auto& seen = sightings_[run];
         if (seen.seen == time_point{} || seen.beat != member.beat)
@@ -120,25 +176,22 @@
     });
 }
 
-std::uint32_t ledger_keeper::live_runs() const
+std::uint32_t ledger_keeper::live_vms() const
 {
-    const auto own = current_.members.count(options_.self);
-    return static_cast<std::uint32_t>(current_.members.size() + 1 - own);
+    std::set<vm_id> vms{options_.member.vm};
+    for (const auto& [run, member] : current_.members)
+        if (!member.closed)
+            vms.insert(member.vm);
+    return static_cast<std::uint32_t>(vms.size());
 }
 
 std::vector<ledger_member> ledger_keeper::others() const
 {
     std::vector<ledger_member> result;
     for (const auto& [run, member] : current_.members)
-        if (run != options_.self && member.vm != options_.member.vm)
+        if (!member.closed && member.vm != options_.member.vm)
             result.push_back(member);
     return result;
 }
 
-token_count ledger_keeper::unspent_of(const customer_id& customer,
-                                      token_count prepaid) const
-{
-    return unspent(current_, customer, prepaid);
-}
-
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_keeper_base.hpp
+++ b/packages/ledger/ledger_keeper_base.hpp
@@ -12,13 +12,18 @@
 struct ledger_keeper_options
 {
     instance_id self;
-    ledger_member member;
-    double cover_seconds = 12;
-    double first_share = 0.05;
+    ledger_member member; ///< Its clock readings are set for each write.
+    ledger_policy policy;
     /** A run that has not written for so long is over. */
-    duration silent_after = milliseconds(25'000);
+    duration silent_after = std::chrono::milliseconds(25'000);
+};
 
-    using milliseconds = std::chrono::milliseconds;
+/** The VM's clocks at one moment. */
+struct clock_reading
+{
+    time_point now{}; ///< Of the runtime's clock, which never jumps.
+    std::int64_t wall_ms = 0;
+    std::int64_t boot_ms = 0;
 };
 
 /** A conditional write of the ledger. */
@@ -30,9 +35,9 @@
 
 /**
  * Decides each write of the ledger and what an answer, or its absence, means
- * for the wallet. A grant is lowered before the write that returns it is sent,
- * and raised only once the store's state proves it; a write whose answer was
- * lost counts both ways until a later revision settles it.
+ * for the wallet. The wallet is bound to a share from before the write that
+ * holds it is sent, and freed from older ones only once the store's state
+ * proves which write is in force.
  */
 class ledger_keeper
 {
@@ -41,9 +46,9 @@
 
     /** @param prepaid Of each customer with a budget. @return The write. */
     ledger_write prepare(const std::map<customer_id, token_count>& prepaid,
-                         time_point now);
-    /** @return The write that ends this run. */
-    ledger_write prepare_close(time_point now);
+                         const clock_reading& clock);
+    /** @return The write that ends this run. No request may be in flight. */
+    ledger_write prepare_close(const clock_reading& clock);
     /** The prepared write was done. @param revision The ledger's new one. */
     void written(std::uint64_t revision, time_point now);
     /** The ledger was read, or a write conflicted with it.
@@ -53,17 +58,16 @@
     /** The prepared write has no answer, or was turned away. */
     void unanswered();
 
-    /** @return Runs that may be spending, this one included. */
-    [[nodiscard]] std::uint32_t live_runs() const;
-    /** @return Members other than this one, as last known. */
+    /** @return VMs that may be serving, this one included. */
+    [[nodiscard]] std::uint32_t live_vms() const;
+    /** @return Members on other VMs, as last known. */
     [[nodiscard]] std::vector<ledger_member> others() const;
     /** @return True once a write of this run is in the ledger. */
     [[nodiscard]] bool joined() const { return joined_; }
     /** @return True if the state is known well enough to write. */
     [[nodiscard]] bool fresh() const { return fresh_; }
-    /** @return What no run has reported as spent, as last known. */
-    [[nodiscard]] token_count unspent_of(const customer_id& customer,
-                                         token_count prepaid) const;
+    /** @return The ledger as last known. */
+    [[nodiscard]] const ledger& current() const { return current_; }
 
 private:
     struct sighting
@@ -71,9 +75,18 @@
         std::uint64_t beat = 0;
         time_point seen{};
     };
+    struct sent_write
+    {
+        std::uint64_t beat = 0;
+        time_point sent{};
+    };
 
-    void take_over(const ledger& current, time_point now);
-    [[nodiscard]] token_count burnt(const customer_id& customer) const;
+    void take_over(ledger current, time_point now);
+    void bind_wallet();
+    void start_over();
+    void note_sightings(time_point now);
+    [[nodiscard]] token_count offset(const customer_id& customer) const;
+    [[nodiscard]] std::map<customer_id, wallet_usage> usage(time_point now);
 
     ledger_keeper_options options_;
     wallet& purse_;
@@ -82,8 +95,10 @@
     std::optional<ledger_write> pending_;
     std::optional<std::uint64_t> doubtful_; ///< Condition of a lost write.
     std::map<instance_id, sighting> sightings_;
-    /** Grants of this run that others have closed as fully spent. */
-    std::map<customer_id, token_count> burnt_;
+    std::deque<sent_write> sent_; ///< Newest last.
+    std::deque<own_write> own_writes_;
+    /** Spending of this run that others have closed. */
+    std::map<customer_id, token_count> offsets_;
     bool joined_ = false;
     bool fresh_ = false;
 };
--- a/packages/ledger/ledger_type.hpp
+++ b/packages/ledger/ledger_type.hpp
@@ -4,18 +4,28 @@
 #include "common/id_type.hpp"
 #include "common/json_type.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace rosemarydeck
 {
 
-/** What one run of a daemon may spend for one customer, and has. */
+/**
+ * What one run of a daemon may spend for one customer, and has. The grant
+ * opens with the time since the write that holds it was sent: while the store
+ * answers, a run spends little beyond what it reports, so little is lost with
+ * it; a run that is cut off gets at the whole grant.
+ */
 struct ledger_share
 {
-    token_count granted = 0; ///< Upper bound of all it will ever spend.
-    token_count spent = 0;   ///< As it last reported.
-    token_count wanted = 0;  ///< Headroom that its own traffic asks for.
+    token_count granted = 0; ///< Bound of all that the run will ever spend.
+    token_count spent = 0;   ///< As the run reported.
+    token_count held = 0;    ///< Reserved for requests in flight at that time.
+    token_count open = 0;    ///< May be spent at once beyond these.
+    token_count slope = 0;   ///< Opens with each second after the report.
+    token_count wanted = 0;  ///< Headroom that the run's traffic asks for.
 
     bool operator==(const ledger_share&) const = default;
 };
@@ -29,12 +39,29 @@
     bool operator==(const ledger_account&) const = default;
 };
 
-/** One run of a daemon that takes part. */
+/** One of a run's earlier writes. */
+struct ledger_mark
+{
+    std::uint64_t turn = 0;
+    std::int64_t wall_ms = 0; ///< Unix time at the write.
+
+    bool operator==(const ledger_mark&) const = default;
+};
+
+/** One run of a daemon that takes part, as of its last write. */
 struct ledger_member
 {
     vm_id vm;
-    std::string address;    ///< IP:PORT where other VMs reach it.
-    std::uint64_t beat = 0; ///< Grows with each of its writes.
+    std::string address;            ///< IP:PORT where other VMs reach it.
+    std::uint64_t beat = 0;         ///< Its writes so far.
+    std::uint64_t turn = 0;         ///< The ledger's turn of its last write.
+    std::uint64_t first_turn = 0;   ///< The ledger's turn of its first write.
+    std::int64_t wall_ms = 0;       ///< Unix time at its last write.
+    std::int64_t boot_ms = 0;       ///< Time since the VM's start, suspensions
+                                    ///< included, at its last write.
+    std::string boot;               ///< Names that start of the VM.
+    std::vector<ledger_mark> marks; ///< Its last writes, newest last.
+    bool closed = false; ///< Over and charged; kept as a witness for others.
 
     bool operator==(const ledger_member&) const = default;
 };
@@ -46,6 +73,7 @@
  */
 struct ledger
 {
+    std::uint64_t turn = 0; ///< Grows by one with each write.
     std::map<instance_id, ledger_member> members;
     std::map<customer_id, ledger_account> accounts;
 
@@ -54,6 +82,7 @@
 
 ROSEMARYDECK_JSON_DECLARE(ledger_share);
 ROSEMARYDECK_JSON_DECLARE(ledger_account);
+ROSEMARYDECK_JSON_DECLARE(ledger_mark);
 ROSEMARYDECK_JSON_DECLARE(ledger_member);
 ROSEMARYDECK_JSON_DECLARE(ledger);
 
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -1,6 +1,8 @@
 /** @file wallet_base.cpp What this VM may spend for each customer. */
 #include "ledger/wallet_base.hpp"
 
+#include "ledger/share_limit_func.hpp"
+
 #include <algorithm>
 
 namespace rosemarydeck
@@ -12,17 +14,32 @@
 /** Weight of the newest reading in the smoothed rate, upward and downward. */
 constexpr double rise_weight = 0.6;
 constexpr double fall_weight = 0.15;
+/** Readings closer together would make the rate jump. */
+constexpr auto least_rate_span = std::chrono::milliseconds(500);
 /** Part of the largest reservation that is forgotten at each reading. */
 constexpr double largest_decay = 0.1;
 
 } // namespace
 
-bool wallet::reserve(const customer_id& customer, token_count tokens)
+token_count wallet::entry::limit(time_point now) const
+{
+    if (terms.empty())
+        return 0;
+    auto lowest = std::numeric_limits<token_count>::max();
+    for (const auto& one : terms)
+        lowest = std::min(lowest,
+                          one.offset + share_limit(one.share, now - one.sent));
+    return lowest;
+}
+
+bool wallet::reserve(const customer_id& customer, token_count tokens,
+                     time_point now)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    auto& usage = purses_[customer].usage;
+    auto& known = entries_[customer];
+    auto& usage = known.usage;
     usage.largest = std::max(usage.largest, tokens);
-    if (usage.spent + usage.reserved + tokens > usage.granted) {
+    if (usage.spent + usage.reserved + tokens > known.limit(now)) {
         usage.missing = std::max(usage.missing, tokens);
         return false;
     }
@@ -34,7 +51,7 @@
                     token_count used)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    auto& usage = purses_[customer].usage;
+    auto& usage = entries_[customer].usage;
     usage.reserved -= reserved;
     usage.spent += std::clamp<token_count>(used, 0, reserved);
 }
@@ -43,21 +60,21 @@
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     std::map<customer_id, wallet_usage> result;
-    for (auto& [customer, one] : purses_) {
-        auto& usage = one.usage;
-        const auto span =
-            std::chrono::duration<double>(now - one.rated_at).count();
-        if (one.rated_at == time_point{}) {
-            one.rated_at = now;
-            one.rated_spent = usage.spent;
+    for (auto& [customer, known] : entries_) {
+        auto& usage = known.usage;
+        const auto span = now - known.rated_at;
+        if (known.rated_at == time_point{}) {
+            known.rated_at = now;
+            known.rated_spent = usage.spent;
         }
-        else if (span >= 0.5) {
+        else if (span >= least_rate_span) {
             const auto rate =
-                static_cast<double>(usage.spent - one.rated_spent) / span;
+                static_cast<double>(usage.spent - known.rated_spent) /
+                std::chrono::duration<double>(span).count();
             const auto weight = rate > usage.rate ? rise_weight : fall_weight;
             usage.rate += weight * (rate - usage.rate);
-            one.rated_at = now;
-            one.rated_spent = usage.spent;
+            known.rated_at = now;
+            known.rated_spent = usage.spent;
         }
         result[customer] = usage;
         usage.missing = 0;
@@ -67,43 +84,53 @@
     return result;
 }
 
-token_count wallet::lower(const customer_id& customer, token_count granted)
+void wallet::propose(const customer_id& customer, wallet_terms& terms)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    auto& usage = purses_[customer].usage;
-    usage.granted = std::min(usage.granted,
-                             std::max(granted, usage.spent + usage.reserved));
-    return usage.granted;
+    auto& known = entries_[customer];
+    auto& share = terms.share;
+    share.held = std::max(share.held, known.usage.spent + known.usage.reserved -
+                                          terms.offset - share.spent);
+    share.granted = std::max(share.granted, share.spent + share.held);
+    known.terms.push_back(terms);
 }
 
-void wallet::confirm(const customer_id& customer, token_count granted)
+void wallet::confirm(const customer_id& customer, const wallet_terms& terms)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    purses_[customer].usage.granted = granted;
+    entries_[customer].terms = {terms};
 }
 
-void wallet::note_rest(const customer_id& customer, token_count tokens)
+token_count wallet::restart(const customer_id& customer)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    purses_[customer].rest = tokens;
+    auto& known = entries_[customer];
+    known.terms.clear();
+    return known.usage.spent + known.usage.reserved;
 }
 
-token_count wallet::rest(const customer_id& customer) const
+token_count wallet::headroom(const customer_id& customer, time_point now) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const auto found = purses_.find(customer);
-    return found == purses_.end() ? std::numeric_limits<token_count>::max()
-                                  : found->second.rest;
+    const auto found = entries_.find(customer);
+    if (found == entries_.end())
+        return 0;
+    const auto& usage = found->second.usage;
+    return found->second.limit(now) - usage.spent - usage.reserved;
 }
 
-token_count wallet::headroom(const customer_id& customer) const
+void wallet::note_rest(const customer_id& customer, token_count tokens)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const auto found = purses_.find(customer);
-    if (found == purses_.end())
-        return 0;
-    const auto& usage = found->second.usage;
-    return usage.granted - usage.spent - usage.reserved;
+    entries_[customer].rest = tokens;
+}
+
+token_count wallet::rest(const customer_id& customer) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = entries_.find(customer);
+    return found == entries_.end() ? std::numeric_limits<token_count>::max()
+                                   : found->second.rest;
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -1,8 +1,8 @@
 /** @file wallet_base.hpp What this VM may spend for each customer. */
 #pragma once
 
-#include "common/id_type.hpp"
 #include "common/time_type.hpp"
+#include "ledger/ledger_type.hpp"
 
 #include <limits>
 #include <map>
@@ -15,7 +15,6 @@
 /** What the wallet has done for one customer. */
 struct wallet_usage
 {
-    token_count granted = 0;
     token_count spent = 0;    ///< Settled charges.
     token_count reserved = 0; ///< Held for requests in flight.
     token_count largest = 0;  ///< Largest reservation of late.
@@ -25,45 +24,63 @@
     bool operator==(const wallet_usage&) const = default;
 };
 
+/** A share and when the write that holds it was sent. */
+struct wallet_terms
+{
+    ledger_share share;
+    time_point sent{};
+    token_count offset = 0; ///< Spent before the share began to count.
+};
+
 /**
  * Local side of the ledger: reservations at a request's largest size, settled
- * by what was delivered. Never lets spent and reserved exceed the granted
- * amount. Used by the traffic threads and the control thread.
+ * by what was delivered. Never lets spent and reserved exceed what every write
+ * that may be in force allows. Used by the traffic thread and the control
+ * thread.
  */
 class wallet
 {
 public:
     /** Holds tokens for a request. @return False if they aren't there. */
-    bool reserve(const customer_id& customer, token_count tokens);
+    bool reserve(const customer_id& customer, token_count tokens,
+                 time_point now);
     /** Ends a reservation. @param used Of it, at most the reserved amount. */
     void settle(const customer_id& customer, token_count reserved,
                 token_count used);
 
     /** @return Usage of each customer seen. Clears what was missing. */
     std::map<customer_id, wallet_usage> read(time_point now);
-    /** Lowers a grant before a smaller one is written to the ledger.
-     *  @return The grant now in force; never below spent and reserved. */
-    token_count lower(const customer_id& customer, token_count granted);
-    /** Takes over a grant that the ledger holds. */
-    void confirm(const customer_id& customer, token_count granted);
+    /** Binds the wallet to a share that is about to be written, besides those
+     *  that bind it already. The share takes in what has been reserved since
+     *  the wallet was read. */
+    void propose(const customer_id& customer, wallet_terms& terms);
+    /** Binds the wallet to one share alone: the one that the ledger holds. */
+    void confirm(const customer_id& customer, const wallet_terms& terms);
+    /** Starts over after others have closed this run's shares as spent.
+     *  @return What was spent and held by then, which they have charged. */
+    token_count restart(const customer_id& customer);
+    /** @return Tokens that may still be reserved. */
+    [[nodiscard]] token_count headroom(const customer_id& customer,
+                                       time_point now) const;
     /** Notes what the ledger shows as unspent by anyone. */
     void note_rest(const customer_id& customer, token_count tokens);
     /** @return What note_rest() last said; unlimited before. */
     [[nodiscard]] token_count rest(const customer_id& customer) const;
-    /** @return Tokens that may still be reserved. */
-    [[nodiscard]] token_count headroom(const customer_id& customer) const;
 
 private:
     struct entry
     {
         wallet_usage usage;
+        std::vector<wallet_terms> terms; ///< All of them bind.
         token_count rest = std::numeric_limits<token_count>::max();
         token_count rated_spent = 0;
         time_point rated_at{};
+
+        [[nodiscard]] token_count limit(time_point now) const;
     };
 
     mutable std::mutex mutex_;
-    std::map<customer_id, entry> purses_;
+    std::map<customer_id, entry> entries_;
 };
 
 } // namespace rosemarydeck
