--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -14,7 +14,7 @@
 /** Time between renewals while nothing is wanted sooner. */
 constexpr auto renew_every = milliseconds(2'000);
 /** Least time between renewals that requests ask for. */
-constexpr auto renew_apart = milliseconds(100);
+constexpr auto renew_apart = milliseconds(50);
 /** Time between renewals, and for how long after the start, while runs that
  *  have ended wait to be closed. */
 constexpr auto evidence_pause = milliseconds(300);
@@ -136,6 +136,7 @@
     }
     if (result->done) {
         keeper_.written(result->object->revision, clock_.now());
+        log_budgets(write);
         return true;
     }
     try {
@@ -151,6 +152,39 @@
     return false;
 }
 
+void control_service::log_budgets(const ledger_write& write)
+{
+    for (const auto& one : write.closings)
+        log_.write("run_closed",
+                   {{"run", one.run.value()},
+                    {"silence_ms",
+                     one.silence ? std::to_string(one.silence->count() / 1'000)
+                                 : "unknown"},
+                    {"reported", one.reported},
+                    {"charged_beyond", one.charged}});
+    token_count granted = 0;
+    token_count spent = 0;
+    token_count closed = 0;
+    token_count total = 0;
+    for (const auto& [customer, prepaid_total] : prepaid()) {
+        total += prepaid_total;
+        const auto account = write.next.accounts.find(customer);
+        if (account == write.next.accounts.end())
+            continue;
+        closed += account->second.closed;
+        for (const auto& [run, share] : account->second.shares) {
+            granted += share.granted;
+            spent += share.spent;
+        }
+    }
+    log_.write("budgets_renewed", {{"turn", write.next.turn},
+                                   {"runs", write.next.members.size()},
+                                   {"prepaid", total},
+                                   {"closed", closed},
+                                   {"granted", granted},
+                                   {"spent", spent}});
+}
+
 void control_service::note_rests()
 {
     for (const auto& [customer, total] : prepaid())
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -58,6 +58,7 @@
     bool write_ledger(const ledger_write& write);
     [[nodiscard]] std::map<customer_id, token_count> prepaid() const;
     void note_rests();
+    void log_budgets(const ledger_write& write);
     [[nodiscard]] clock_reading read_clocks() const;
 
     boost::asio::io_context& io_;
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -15,34 +15,41 @@
 constexpr std::size_t max_marks = 5;
 
 /** Closes a run at the most that it can have spent. */
-void fold(ledger& value, const instance_id& run, duration silence)
+run_closing fold(ledger& value, const instance_id& run,
+                 std::optional<duration> silence)
 {
+    run_closing closing{run, silence};
     value.members[run].closed = true;
     for (auto& [customer, account] : value.accounts) {
-        const auto share = account.shares.find(run);
-        if (share == account.shares.end())
+        const auto found = account.shares.find(run);
+        if (found == account.shares.end())
             continue;
-        account.closed += share_limit(share->second, silence);
-        account.shares.erase(share);
+        const auto& share = found->second;
+        const auto charge = share_limit(share, silence.value_or(full_span));
+        closing.reported += share.spent + share.held;
+        closing.charged += charge - share.spent - share.held;
+        account.closed += charge;
+        account.shares.erase(found);
     }
+    return closing;
 }
 
-void fold_ended(ledger& value, const ledger_renewal& wish)
+std::vector<run_closing> fold_ended(ledger& value, const ledger_renewal& wish)
 {
-    std::map<instance_id, duration> ended;
+    std::map<instance_id, std::optional<duration>> ended;
     for (const auto& [run, member] : value.members) {
-        if (run == wish.self)
+        if (run == wish.self || member.closed)
             continue;
         const auto silence = longest_silence(value, wish, run);
-        if (silence)
-            ended[run] = *silence;
-        else if (wish.silent.count(run))
-            ended[run] = duration::max();
+        if (silence || wish.silent.count(run))
+            ended[run] = silence;
     }
+    std::vector<run_closing> closings;
     for (const auto& [run, silence] : ended)
-        fold(value, run, silence);
+        closings.push_back(fold(value, run, silence));
     for (const auto& run : wish.silent)
         value.members.erase(run);
+    return closings;
 }
 
 /** Puts the writer's own entry in order. */
@@ -115,8 +122,9 @@
     // Before demand is known, the others' is not known either.
     if (usage.rate <= 0)
         part = std::min(part, 1.0 / static_cast<double>(vms));
-    const auto spread = static_cast<token_count>(policy.spread_share * part *
-                                                 static_cast<double>(rest));
+    const auto spread = static_cast<token_count>(
+        std::min(policy.spread_share * part * static_cast<double>(rest),
+                 policy.spread_limit * static_cast<double>(own.wanted)));
     const auto free = prepaid - account.closed - sums.others_granted;
     const auto wish_total =
         own.spent + std::max(spread, own.held + usage.missing);
@@ -132,10 +140,11 @@
 
 } // namespace
 
-ledger renew(const ledger& now, const ledger_renewal& wish)
+renewed_ledger renew(const ledger& now, const ledger_renewal& wish)
 {
-    auto next = now;
-    fold_ended(next, wish);
+    renewed_ledger result{now, {}};
+    auto& next = result.next;
+    result.closings = fold_ended(next, wish);
     sign(next, wish);
     for (const auto& [customer, prepaid] : wish.prepaid) {
         const auto known = wish.usage.find(customer);
@@ -143,7 +152,7 @@
                     known == wish.usage.end() ? wallet_usage{} : known->second,
                     prepaid, vms_in(next));
     }
-    return next;
+    return result;
 }
 
 ledger close_run(const ledger& now, const instance_id& self,
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -5,6 +5,7 @@
 #include "ledger/wallet_base.hpp"
 
 #include <deque>
+#include <optional>
 #include <set>
 
 namespace rosemarydeck
@@ -14,11 +15,14 @@
 struct ledger_policy
 {
     double cover_seconds = 10;  ///< Spending that headroom outlasts.
-    double open_seconds = 3;    ///< Spending that is open at once.
-    double open_largest = 1.5;  ///< Largest requests open besides.
+    /** Headroom is at most so many times what is wanted: a run that ends after
+     *  a long silence is charged all of it. */
+    double spread_limit = 2.0;
+    double open_seconds = 2;    ///< Spending that is open at once.
+    double open_largest = 1.0;  ///< Largest requests open besides.
     double slope_factor = 1.5;  ///< Opening against the rate.
     double spread_share = 0.85; ///< Of what is left, divided by demand.
-    token_count floor = 12'000; ///< Wanted without any traffic, a request.
+    token_count floor = 6'000; ///< Wanted without any traffic, a request.
 };
 
 /** One write of this run's that the ledger has taken. */
@@ -40,12 +44,30 @@
     ledger_policy policy;
 };
 
+/** A run that a renewal closes. */
+struct run_closing
+{
+    instance_id run;
+    std::optional<duration> silence; ///< None if it is charged its grants.
+    token_count reported = 0;        ///< Spent and held by its last write.
+    token_count charged = 0;         ///< Beyond what it reported.
+
+    bool operator==(const run_closing&) const = default;
+};
+
+/** A ledger to be written. */
+struct renewed_ledger
+{
+    ledger next;
+    std::vector<run_closing> closings;
+};
+
 /**
  * Gives a VM its part of every budget: what it has spent, and headroom by its
  * part of all demand. Closes runs that are over at what they can have spent
  * by the time that they were gone.
  */
-ledger renew(const ledger& now, const ledger_renewal& wish);
+renewed_ledger renew(const ledger& now, const ledger_renewal& wish);
 
 /**
  * @param run A run that a newer one of its VM has replaced.
--- a/packages/ledger/ledger_keeper_base.cpp
+++ b/packages/ledger/ledger_keeper_base.cpp
@@ -55,7 +55,8 @@
     for (const auto& [run, seen] : sightings_)
         if (clock.now - seen.seen > options_.silent_after)
             wish.silent.insert(run);
-    auto next = renew(current_, wish);
+    auto renewed = renew(current_, wish);
+    auto& next = renewed.next;
     for (const auto& [customer, total] : prepaid) {
         auto& share = next.accounts[customer].shares[options_.self];
         wallet_terms terms{share, clock.now, offset(customer)};
@@ -65,7 +66,8 @@
     sent_.push_back({member.beat, clock.now});
     if (sent_.size() > max_remembered)
         sent_.pop_front();
-    pending_ = ledger_write{std::move(next), revision_};
+    pending_ =
+        ledger_write{std::move(next), revision_, std::move(renewed.closings)};
     return *pending_;
 }
 
--- a/packages/ledger/ledger_keeper_base.hpp
+++ b/packages/ledger/ledger_keeper_base.hpp
@@ -30,7 +30,8 @@
 struct ledger_write
 {
     ledger next;
-    std::uint64_t condition = 0; ///< Revision to replace; 0 creates it.
+    std::uint64_t condition = 0;       ///< Revision to replace; 0 creates it.
+    std::vector<run_closing> closings; ///< Of other runs.
 };
 
 /**
