Place prompts by the parts that other requests share

Ruled out: cache eviction (40k tokens of shared parts an engine against 355k). Change: the last shared part names the home; a home is left sooner the fewer tokens are shared, and prompts are fetched from it only from 1,000 tokens on.

--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -89,8 +89,10 @@
     need_.service = service_;
     need_.input = head_.input_tokens;
     need_.output = head_.max_output_tokens;
-    if (route_->has_prompt)
-        need_.prefix_home = head_.own_part();
+    if (route_->has_prompt) {
+        need_.prefix_home = head_.shared_prefix();
+        need_.shared = head_.shared_tokens();
+    }
     shared_.retries.on_request(service_, started_);
     return reserve();
 }
--- a/packages/router/placement_base.cpp
+++ b/packages/router/placement_base.cpp
@@ -93,13 +93,14 @@
         const auto* home = from[order.front()];
         const auto mean =
             static_cast<double>(total) / static_cast<double>(from.size());
-        const auto bound = options_.home_load_factor * mean +
-                           static_cast<double>(options_.home_slack);
+        const auto bound =
+            options_.home_load_factor * mean +
+            options_.home_slack * static_cast<double>(request.shared);
         const auto* known = find(home->id);
         const auto load = known == nullptr ? 0 : known->work;
         if (static_cast<double>(load) <= bound)
             pick = home;
-        else
+        else if (request.shared >= options_.least_fetch)
             chosen.fetch_from = *home;
     }
     auto& counted = records_[pick->id];
--- a/packages/router/placement_base.hpp
+++ b/packages/router/placement_base.hpp
@@ -15,8 +15,10 @@
 {
     /** A prefix's home is left when its load exceeds the mean this often. */
     double home_load_factor = 1.6;
-    /** Work in tokens that a home may hold beyond that bound. */
-    token_count home_slack = 16'000;
+    /** Work that a home may hold beyond that bound, for each shared token. */
+    double home_slack = 4.0;
+    /** Fewer shared tokens are read again rather than fetched. */
+    token_count least_fetch = 1'000;
     /** Output tokens take a batch step each; a prompt token a share of one.
      *  From the engines' published step and prefill times. */
     token_count output_token_weight = 8;
@@ -28,7 +30,8 @@
 struct placement_request
 {
     service_id service;
-    std::string prefix_home; ///< Key of the prompt's own part, or empty.
+    std::string prefix_home; ///< Key of the shared prompt parts, or empty.
+    token_count shared = 0;  ///< Tokens of these parts.
     token_count input = 0;
     token_count output = 0;
 };
--- a/packages/router/request_type.hpp
+++ b/packages/router/request_type.hpp
@@ -32,10 +32,19 @@
 
     bool operator==(const request_head&) const = default;
 
-    /** @return Key of the part that no other session shares, or empty. */
-    [[nodiscard]] std::string own_part() const
+    /** @return Key of the longest run of parts that other requests share, or
+     *  empty. The last part is the request's own. */
+    [[nodiscard]] std::string shared_prefix() const
     {
-        return prompt.empty() ? std::string() : prompt.back().id;
+        return prompt.size() < 2 ? std::string() : prompt[prompt.size() - 2].id;
+    }
+    /** @return Tokens of the parts that other requests share. */
+    [[nodiscard]] token_count shared_tokens() const
+    {
+        token_count sum = 0;
+        for (std::size_t at = 0; at + 1 < prompt.size(); ++at)
+            sum += prompt[at].tokens;
+        return sum;
     }
     /** @return Most tokens that the request may be charged. */
     [[nodiscard]] token_count largest_charge() const
