Read the ledger cheaply before each renewal, and prove the budget rule

Change: a read that may be old comes first and is ignored where it is older than what is known; a customer that a renewal could not help is not renewed for again for 0.7 s; headroom at most 1.5 times what is wanted.

--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -15,6 +15,8 @@
 constexpr auto renew_every = milliseconds(2'000);
 /** Least time between renewals that requests ask for. */
 constexpr auto renew_apart = milliseconds(50);
+/** Others give back headroom within their own renewals. */
+constexpr auto short_span = milliseconds(700);
 /** Time between renewals, and for how long after the start, while runs that
  *  have ended wait to be closed. */
 constexpr auto evidence_pause = milliseconds(300);
@@ -79,12 +81,15 @@
 {
     const auto live_before = keeper_.live_vms();
     last_renewal_ = clock_.now();
+    keeper_.expect_changes();
     for (int tries = 0; tries < max_conflicts && !closing_; ++tries) {
         // The first read may be old; a conflict brings the newest.
         if (!keeper_.fresh() && !read_ledger(keeper_.joined()))
             return;
         if (write_ledger(keeper_.prepare(prepaid(), read_clocks()))) {
             note_rests();
+            for (const auto& customer : keeper_.short_customers())
+                purse_.note_short(customer, clock_.now() + short_span);
             if (live_before != keeper_.live_vms())
                 publish();
             return;
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -146,7 +146,8 @@
 {
     const auto until = std::min(started_ + duration(grant_wait), deadline_);
     const auto charge = head_.largest_charge();
-    if (shared_.purse.rest(customer_->id) < charge)
+    if (shared_.purse.rest(customer_->id) < charge ||
+        !shared_.purse.may_grow(customer_->id, started_))
         return false;
     shared_.want_grant();
     while (shared_.clock.now() < until && !client_.closed()) {
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -14,15 +14,15 @@
 /** How budgets are divided. */
 struct ledger_policy
 {
-    double cover_seconds = 10;  ///< Spending that headroom outlasts.
+    double cover_seconds = 10; ///< Spending that headroom outlasts.
     /** Headroom is at most so many times what is wanted: a run that ends after
      *  a long silence is charged all of it. */
-    double spread_limit = 2.0;
+    double spread_limit = 1.5;
     double open_seconds = 2;    ///< Spending that is open at once.
     double open_largest = 1.0;  ///< Largest requests open besides.
     double slope_factor = 1.5;  ///< Opening against the rate.
     double spread_share = 0.85; ///< Of what is left, divided by demand.
-    token_count floor = 6'000; ///< Wanted without any traffic, a request.
+    token_count floor = 6'000;  ///< Wanted without any traffic, a request.
 };
 
 /** One write of this run's that the ledger has taken. */
--- a/packages/ledger/ledger_keeper_base.cpp
+++ b/packages/ledger/ledger_keeper_base.cpp
@@ -55,6 +55,7 @@
     for (const auto& [run, seen] : sightings_)
         if (clock.now - seen.seen > options_.silent_after)
             wish.silent.insert(run);
+    short_.clear();
     auto renewed = renew(current_, wish);
     auto& next = renewed.next;
     for (const auto& [customer, total] : prepaid) {
@@ -62,6 +63,10 @@
         wallet_terms terms{share, clock.now, offset(customer)};
         purse_.propose(customer, terms);
         share = terms.share;
+        const auto used = wish.usage.find(customer);
+        if (used != wish.usage.end() &&
+            share.granted - share.spent - share.held < used->second.missing)
+            short_.push_back(customer);
     }
     sent_.push_back({member.beat, clock.now});
     if (sent_.size() > max_remembered)
@@ -108,8 +113,11 @@
                               std::uint64_t revision, time_point now)
 {
     pending_.reset();
-    revision_ = current ? revision : 0;
     fresh_ = true;
+    // A read may be older than what is known; the object is never deleted.
+    if (!current ? revision_ != 0 : revision < revision_)
+        return;
+    revision_ = current ? revision : 0;
     if (doubtful_ && *doubtful_ == revision_) {
         // The lost write may still be done, so its share goes on to bind.
         current_ = current ? *std::move(current) : ledger{};
--- a/packages/ledger/ledger_keeper_base.hpp
+++ b/packages/ledger/ledger_keeper_base.hpp
@@ -65,6 +65,14 @@
     [[nodiscard]] std::vector<ledger_member> others() const;
     /** @return True once a write of this run is in the ledger. */
     [[nodiscard]] bool joined() const { return joined_; }
+    /** @return Customers whose missing tokens the last write did not cover. */
+    [[nodiscard]] const std::vector<customer_id>& short_customers() const
+    {
+        return short_;
+    }
+    /** Other VMs have probably written since; a read is cheaper than a write
+     *  that conflicts. */
+    void expect_changes() { fresh_ = false; }
     /** @return True if the state is known well enough to write. */
     [[nodiscard]] bool fresh() const { return fresh_; }
     /** @return The ledger as last known. */
@@ -100,6 +108,7 @@
     std::deque<own_write> own_writes_;
     /** Spending of this run that others have closed. */
     std::map<customer_id, token_count> offsets_;
+    std::vector<customer_id> short_;
     bool joined_ = false;
     bool fresh_ = false;
 };
--- /dev/null
+++ b/packages/ledger/test/ledger_test.cpp
@@ -0,0 +1,283 @@
+/** @file ledger_test.cpp Shares, wallets and the closing of ended runs. */
+#include "ledger/ledger_keeper_base.hpp"
+#include "ledger/share_limit_func.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace rosemarydeck;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const customer_id acme("acme");
+
+ledger_keeper_options options_of(const std::string& vm, int run = 1)
+{
+    ledger_keeper_options options;
+    options.self = instance_id(vm + "." + std::to_string(run));
+    options.member.vm = vm_id(vm);
+    options.member.boot = "boot-of-" + vm;
+    return options;
+}
+
+clock_reading at(std::chrono::milliseconds time)
+{
+    return {time_point(time), 1'000'000 + time.count(), time.count()};
+}
+
+ledger_share share_of(const ledger& value, const std::string& run)
+{
+    return value.accounts.at(acme).shares.at(instance_id(run));
+}
+
+/** A VM alone with a ledger that does every write at once. */
+struct lone_vm
+{
+    wallet purse;
+    ledger_keeper keeper;
+    std::uint64_t revision = 1;
+
+    explicit lone_vm(ledger_keeper_options options)
+        : keeper(std::move(options), purse)
+    {
+        keeper.refreshed(std::nullopt, 0, at(0ms).now);
+    }
+
+    void renew(token_count prepaid, std::chrono::milliseconds time)
+    {
+        keeper.prepare({{acme, prepaid}}, at(time));
+        keeper.written(++revision, at(time).now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("A share opens by its slope and then up to its grant", "[limit]")
+{
+    const ledger_share share{.granted = 10'000,
+                             .spent = 1'000,
+                             .held = 500,
+                             .open = 300,
+                             .slope = 100};
+    CHECK(share_limit(share, -1s) == 1'800);
+    CHECK(share_limit(share, 0s) == 1'800);
+    CHECK(share_limit(share, 2s) == 2'000);
+    CHECK(share_limit(share, 4s) == 2'200);
+    CHECK(share_limit(share, 6s) == 6'100);
+    CHECK(share_limit(share, 8s) == 10'000);
+    CHECK(share_limit(share, duration::max()) == 10'000);
+}
+
+TEST_CASE("A share never opens beyond its grant", "[limit]")
+{
+    const ledger_share share{.granted = 1'600, .spent = 1'000, .open = 5'000};
+    CHECK(share_limit(share, 0s) == 1'600);
+}
+
+TEST_CASE("A wallet without a share reserves nothing", "[wallet]")
+{
+    wallet purse;
+    CHECK_FALSE(purse.reserve(acme, 1, at(0ms).now));
+}
+
+TEST_CASE("A wallet settles what was used and frees the rest", "[wallet]")
+{
+    wallet purse;
+    purse.confirm(acme, {{.granted = 1'000, .open = 1'000}, at(0ms).now});
+    REQUIRE(purse.reserve(acme, 900, at(0ms).now));
+    CHECK_FALSE(purse.reserve(acme, 200, at(0ms).now));
+    purse.settle(acme, 900, 100);
+    CHECK(purse.headroom(acme, at(0ms).now) == 900);
+    CHECK(purse.reserve(acme, 900, at(0ms).now));
+}
+
+TEST_CASE("Every write that may be in force binds the wallet", "[wallet]")
+{
+    wallet purse;
+    purse.confirm(acme, {{.granted = 1'000, .open = 1'000}, at(0ms).now});
+    wallet_terms smaller{{.granted = 300, .open = 300}, at(0ms).now};
+    purse.propose(acme, smaller);
+    CHECK_FALSE(purse.reserve(acme, 400, at(0ms).now));
+    wallet_terms larger{{.granted = 5'000, .open = 5'000}, at(0ms).now};
+    purse.propose(acme, larger);
+    CHECK_FALSE(purse.reserve(acme, 400, at(0ms).now));
+    purse.confirm(acme, larger);
+    CHECK(purse.reserve(acme, 4'000, at(0ms).now));
+}
+
+TEST_CASE("A proposal takes in what was reserved since the reading", "[wallet]")
+{
+    wallet purse;
+    purse.confirm(acme, {{.granted = 1'000, .open = 1'000}, at(0ms).now});
+    REQUIRE(purse.reserve(acme, 600, at(0ms).now));
+    wallet_terms smaller{{.granted = 100}, at(0ms).now};
+    purse.propose(acme, smaller);
+    CHECK(smaller.share.held == 600);
+    CHECK(smaller.share.granted == 600);
+}
+
+TEST_CASE("A VM is granted headroom and no more than is prepaid", "[keeper]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(50'000, 0ms);
+    CHECK(vm.keeper.joined());
+    CHECK(vm.purse.headroom(acme, at(0ms).now) > 0);
+    CHECK(share_of(vm.keeper.current(), "a.1").granted <= 50'000);
+}
+
+TEST_CASE("Grants of several VMs add up to no more than is prepaid", "[keeper]")
+{
+    lone_vm first(options_of("a"));
+    first.renew(50'000, 0ms);
+    // The second VM lacks headroom that the first one holds.
+    wallet purse;
+    REQUIRE_FALSE(purse.reserve(acme, 45'000, at(0ms).now));
+    ledger_keeper second(options_of("b"), purse);
+    second.refreshed(first.keeper.current(), 2, at(0ms).now);
+    const auto write = second.prepare({{acme, 50'000}}, at(0ms));
+    CHECK(share_of(write.next, "a.1").granted +
+              share_of(write.next, "b.1").granted <=
+          50'000);
+    CHECK(second.short_customers() == std::vector<customer_id>{acme});
+}
+
+TEST_CASE("A lost write binds until a later revision settles it", "[keeper]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(50'000, 0ms);
+    const auto before = vm.purse.headroom(acme, at(0ms).now);
+    // The operator cuts the budget; whether the write was done is not known.
+    const auto lost = vm.keeper.prepare({{acme, 1'000}}, at(1ms));
+    vm.keeper.unanswered();
+    CHECK(vm.purse.headroom(acme, at(1ms).now) <= 1'000);
+    // The old state is still there: the lost write may yet be done.
+    const auto old = vm.keeper.current();
+    vm.keeper.refreshed(old, vm.revision, at(2ms).now);
+    CHECK(vm.purse.headroom(acme, at(2ms).now) <= 1'000);
+    // Another VM's write shows that it was not.
+    vm.keeper.refreshed(old, vm.revision + 1, at(3ms).now);
+    CHECK(vm.purse.headroom(acme, at(3ms).now) >= before);
+    CHECK(lost.condition == 2);
+}
+
+TEST_CASE("A read that is older than what is known changes nothing", "[keeper]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(50'000, 0ms);
+    const auto old = vm.keeper.current();
+    const auto old_revision = vm.revision;
+    vm.renew(2'000, 1ms);
+    vm.keeper.refreshed(old, old_revision, at(2ms).now);
+    CHECK(vm.purse.headroom(acme, at(20s).now) <= 2'000);
+    vm.keeper.refreshed(std::nullopt, 0, at(3ms).now);
+    CHECK(vm.keeper.prepare({{acme, 2'000}}, at(4ms)).condition == vm.revision);
+}
+
+TEST_CASE("A restarted process closes its last run by the VM's clock",
+          "[silence]")
+{
+    lone_vm first(options_of("a"));
+    first.renew(1'000'000, 1s);
+    const auto share = share_of(first.keeper.current(), "a.1");
+    wallet purse;
+    ledger_keeper second(options_of("a", 2), purse);
+    second.refreshed(first.keeper.current(), 7, at(3s).now);
+    const auto write = second.prepare({{acme, 1'000'000}}, at(3s));
+    REQUIRE(write.closings.size() == 1);
+    CHECK(write.closings[0].silence == duration(2s));
+    CHECK(write.next.accounts.at(acme).closed == share_limit(share, 2s));
+    CHECK(write.next.members.at(instance_id("a.1")).closed);
+}
+
+TEST_CASE("A VM that lost power needs most VMs' times of day", "[silence]")
+{
+    ledger value;
+    value.turn = 10;
+    const auto member = [](const std::string& vm, std::uint64_t turn,
+                           std::int64_t wall) {
+        ledger_member made;
+        made.vm = vm_id(vm);
+        made.turn = made.first_turn = turn;
+        made.wall_ms = wall;
+        return made;
+    };
+    value.members[instance_id("a.1")] = member("a", 8, 5'000);
+    value.members[instance_id("b.1")] = member("b", 9, 5'100);
+    value.members[instance_id("c.1")] = member("c", 10, 5'200);
+    ledger_renewal wish;
+    wish.self = instance_id("a.2");
+    wish.member = member("a", 0, 7'000);
+    // Only this VM is back.
+    CHECK_FALSE(longest_silence(value, wish, instance_id("a.1")));
+    value.members[instance_id("b.2")] = member("b", 12, 7'900);
+    value.turn = 12;
+    // Two of three are back; the longest reading counts. The run of c has no
+    // successor, so it may live.
+    const auto silence = longest_silence(value, wish, instance_id("b.1"));
+    REQUIRE(silence);
+    CHECK(*silence == duration(2'800ms));
+    CHECK_FALSE(longest_silence(value, wish, instance_id("c.1")));
+}
+
+TEST_CASE("An observer that wrote before bounds another's silence", "[silence]")
+{
+    ledger value;
+    value.turn = 9;
+    ledger_member ended;
+    ended.vm = vm_id("b");
+    ended.turn = ended.first_turn = 5;
+    ledger_member next = ended;
+    next.turn = next.first_turn = 9;
+    value.members[instance_id("b.1")] = ended;
+    value.members[instance_id("b.2")] = next;
+    ledger_renewal wish;
+    wish.self = instance_id("a.1");
+    wish.member.vm = vm_id("a");
+    wish.member.boot_ms = 9'000;
+    wish.own_writes = {{3, 4'000}, {4, 6'000}, {6, 8'000}};
+    CHECK(longest_silence(value, wish, instance_id("b.1")) == duration(3s));
+}
+
+TEST_CASE("A run that others have closed starts over", "[keeper]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(1'000'000, 0ms);
+    REQUIRE(vm.purse.reserve(acme, 1'000, at(0ms).now));
+    vm.purse.settle(acme, 1'000, 1'000);
+    auto without = vm.keeper.current();
+    without.members.clear();
+    without.accounts[acme].closed = 400'000;
+    without.accounts[acme].shares.clear();
+    vm.keeper.refreshed(without, 9, at(1s).now);
+    CHECK_FALSE(vm.keeper.joined());
+    CHECK_FALSE(vm.purse.reserve(acme, 1, at(1s).now));
+    vm.keeper.prepare({{acme, 1'000'000}}, at(1s));
+    vm.keeper.written(10, at(1s).now);
+    const auto share = share_of(vm.keeper.current(), "a.1");
+    CHECK(share.spent == 0);
+    CHECK(share.granted <= 600'000);
+    CHECK(vm.purse.reserve(acme, 1'000, at(1s).now));
+}
+
+TEST_CASE("A graceful end returns all headroom", "[keeper]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(1'000'000, 0ms);
+    REQUIRE(vm.purse.reserve(acme, 700, at(0ms).now));
+    vm.purse.settle(acme, 700, 250);
+    const auto write = vm.keeper.prepare_close(at(1s));
+    CHECK(write.next.accounts.at(acme).closed == 250);
+    CHECK(write.next.members.empty());
+    CHECK_FALSE(vm.purse.reserve(acme, 1, at(1s).now));
+}
+
+TEST_CASE("A ledger survives its JSON form", "[json]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(1'000'000, 0ms);
+    vm.renew(1'000'000, 1s);
+    const auto text = nlohmann::json(vm.keeper.current()).dump();
+    CHECK(nlohmann::json::parse(text).get<ledger>() == vm.keeper.current());
+}
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -62,6 +62,12 @@
     /** @return Tokens that may still be reserved. */
     [[nodiscard]] token_count headroom(const customer_id& customer,
                                        time_point now) const;
+    /** Notes that a renewal could not cover what was missing.
+     *  @param until Earliest time at which asking again may help. */
+    void note_short(const customer_id& customer, time_point until);
+    /** @return True if asking for more headroom may help now. */
+    [[nodiscard]] bool may_grow(const customer_id& customer,
+                                time_point now) const;
     /** Notes what the ledger shows as unspent by anyone. */
     void note_rest(const customer_id& customer, token_count tokens);
     /** @return What note_rest() last said; unlimited before. */
@@ -73,6 +79,7 @@
         wallet_usage usage;
         std::vector<wallet_terms> terms; ///< All of them bind.
         token_count rest = std::numeric_limits<token_count>::max();
+        time_point short_until{};
         token_count rated_spent = 0;
         time_point rated_at{};
 
