--- a/packages/daemon/daemon_main.cpp
+++ b/packages/daemon/daemon_main.cpp
@@ -23,6 +23,7 @@
     char* settings_file = nullptr;
     char* check_file = nullptr;
     int platform = 0;
+    int metrics_port = 9464;
     int print = 0;
     int version = 0;
 };
@@ -67,7 +68,7 @@
 
 /** Runs the router on the users' platform, whose settings file is named in an
  *  environment variable. */
-int serve_platform()
+int serve_platform(int metrics_port)
 {
     const char* path = std::getenv(platform::settings_variable);
     if (path == nullptr) {
@@ -75,13 +76,14 @@
                      platform::settings_variable);
         return exit_bad_usage;
     }
-    const auto values = platform::read_settings(path);
+    auto values = platform::read_settings(path);
     if (!values) {
         for (const auto& fault : values.error())
             std::fprintf(stderr, "%s:%zu: %s\n", path, fault.line,
                          fault.text.c_str());
         return exit_bad_settings;
     }
+    values->metrics_port = static_cast<std::uint16_t>(metrics_port);
     auto* vm = new gateway(*values, path);
     const int code = vm->run();
     // The traffic thread still holds connections; see serve().
@@ -111,7 +113,9 @@
     if (line.check_file != nullptr)
         return check(line.check_file);
     if (line.platform != 0)
-        return serve_platform();
+        return line.metrics_port < 1 || line.metrics_port > 65'535
+                   ? usage_fault(context, "--metrics-port is no port")
+                   : serve_platform(line.metrics_port);
     if (line.settings_file == nullptr)
         return usage_fault(context, "--settings FILE is missing");
     return serve(line.settings_file);
@@ -128,6 +132,8 @@
         {"platform", 0, POPT_ARG_NONE, &line.platform, 0,
          "route on the users' platform, with the settings that it names",
          nullptr},
+        {"metrics-port", 0, POPT_ARG_INT, &line.metrics_port, 0,
+         "with --platform: serve /metrics there; 9464 if not given", "PORT"},
         {"check-settings", 'c', POPT_ARG_STRING, &line.check_file, 0,
          "check FILE, say each fault with its line, and end", "FILE"},
         {"print-settings", 'p', POPT_ARG_NONE, &line.print, 0,
