--- /dev/null
+++ b/packages/router/test/router_test.cpp
@@ -0,0 +1,255 @@
+/** @file router_test.cpp Routes, engines, places and the retry budget. */
+#include "router/engine_directory_base.hpp"
+#include "router/placement_base.hpp"
+#include "router/request_type.hpp"
+#include "router/retry_budget_base.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace rosemarydeck;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const service_id models("models");
+
+time_point at(milliseconds time)
+{
+    return time_point(time);
+}
+
+engine_info engine(const std::string& name, bool draining = false)
+{
+    engine_info made;
+    made.id = server_id(name);
+    made.service = models;
+    made.address = "10.0.0.1";
+    made.port = 80;
+    made.slots = 4;
+    made.draining = draining;
+    return made;
+}
+
+std::vector<engine_info> engines(int count)
+{
+    std::vector<engine_info> made;
+    for (int number = 0; number < count; ++number)
+        made.push_back(engine("e" + std::to_string(number)));
+    return made;
+}
+
+placement_request prompt(const std::string& home, token_count shared = 6'000)
+{
+    placement_request made;
+    made.service = models;
+    made.prefix_home = home;
+    made.shared = shared;
+    made.input = shared + 2'000;
+    made.output = 100;
+    return made;
+}
+
+route_rule route(const std::string& host, const std::string& prefix)
+{
+    route_rule made;
+    made.host = host;
+    made.prefix = prefix;
+    made.name = host + prefix;
+    return made;
+}
+
+std::size_t usable_count(const engine_directory& directory)
+{
+    const auto all = directory.usable();
+    const auto found = all.find(models);
+    return found == all.end() ? 0 : found->second.size();
+}
+
+} // namespace
+
+TEST_CASE("The longest prefix of the host selects the route", "[routes]")
+{
+    router_config config;
+    config.routes = {route("a", "/x/"), route("a", "/x/y/"), route("b", "/"),
+                     route("a", "/z/")};
+    const config_index index(config);
+    CHECK(index.route("a", "/x/y/1")->name == "a/x/y/");
+    CHECK(index.route("a", "/x/yz")->name == "a/x/");
+    CHECK(index.route("a", "/x/?q=/x/y/")->name == "a/x/");
+    CHECK(index.route("b", "/anything")->name == "b/");
+    CHECK(index.route("a", "/x") == nullptr);
+    CHECK(index.route("c", "/x/") == nullptr);
+}
+
+TEST_CASE("Keys lead to their customer and services to their rule", "[routes]")
+{
+    router_config config;
+    config.customers = {{customer_id("acme"), {"k1", "k2"}, {}, {}}};
+    config.services = {{models, 7, {}}};
+    const config_index index(config);
+    CHECK(index.customer_of("k2")->id == customer_id("acme"));
+    CHECK(index.customer_of("k3") == nullptr);
+    CHECK(index.service(models)->max_connections == 7);
+    CHECK(index.service(service_id("none")) == nullptr);
+}
+
+TEST_CASE("Draining and vanished engines get no work", "[directory]")
+{
+    engine_directory directory;
+    directory.replace(engines(3), at(0ms));
+    CHECK(usable_count(directory) == 3);
+    directory.put(engine("e0", true));
+    CHECK(usable_count(directory) == 2);
+    directory.erase(server_id("e1"), at(1ms));
+    CHECK(usable_count(directory) == 1);
+    directory.replace(engines(1), at(2ms));
+    CHECK(directory.usable()[models].front().id == server_id("e0"));
+}
+
+TEST_CASE("Entries that lapse in an outage have time to come back",
+          "[directory]")
+{
+    engine_directory directory({.lapse_grace = 1'800ms});
+    directory.replace(engines(2), at(0ms));
+    directory.outage_ended(at(10s));
+    directory.replace({}, at(10s));
+    CHECK(usable_count(directory) == 2);
+    directory.put(engine("e1"));
+    CHECK_FALSE(directory.expire(at(11s)));
+    CHECK(directory.expire(at(11'800ms)));
+    CHECK(usable_count(directory) == 1);
+}
+
+TEST_CASE("An engine that announced its leaving has no time to come back",
+          "[directory]")
+{
+    engine_directory directory;
+    directory.replace({engine("e0", true)}, at(0ms));
+    directory.outage_ended(at(10s));
+    directory.erase(server_id("e0"), at(10s));
+    CHECK(directory.size() == 0);
+}
+
+TEST_CASE("All VMs agree on a prompt's home", "[placement]")
+{
+    const auto all = engines(12);
+    for (int number = 0; number < 50; ++number) {
+        placement_book one;
+        placement_book other;
+        other.place(prompt("elsewhere", 10), all, {}, at(0ms));
+        const auto wish = prompt("part" + std::to_string(number));
+        CHECK(one.place(wish, all, {}, at(0ms))->engine.id ==
+              other.place(wish, all, {}, at(0ms))->engine.id);
+    }
+}
+
+TEST_CASE("A busy home is left and its prompt fetched from it", "[placement]")
+{
+    const auto all = engines(4);
+    placement_book book;
+    const auto home = book.place(prompt("hot"), all, {}, at(0ms))->engine.id;
+    std::optional<placement> away;
+    for (int number = 0; number < 20 && !away; ++number) {
+        const auto place = book.place(prompt("hot"), all, {}, at(0ms));
+        if (place->engine.id != home)
+            away = place;
+    }
+    REQUIRE(away);
+    REQUIRE(away->fetch_from);
+    CHECK(away->fetch_from->id == home);
+}
+
+TEST_CASE("Few shared tokens are read again rather than fetched", "[placement]")
+{
+    const auto all = engines(4);
+    placement_book book;
+    for (int number = 0; number < 20; ++number)
+        CHECK_FALSE(
+            book.place(prompt("small", 170), all, {}, at(0ms))->fetch_from);
+}
+
+TEST_CASE("Work without a home goes to the least loaded engine", "[placement]")
+{
+    const auto all = engines(6);
+    placement_book book;
+    for (int number = 0; number < 12; ++number)
+        book.place({models, "", 0, 0, 0}, all, {}, at(0ms));
+    for (const auto& one : all)
+        CHECK(book.open_at(one.id) == 2);
+}
+
+TEST_CASE("An engine that fails is left alone for a growing while",
+          "[placement]")
+{
+    const auto all = engines(2);
+    placement_book book;
+    const placement_request wish{models, "", 0, 0, 0};
+    const auto fail = [&](time_point now) {
+        book.place(wish, std::span(all).first(1), {}, now);
+        book.release(all[0].id, wish, send_outcome::broken, now);
+    };
+    const auto used = [&](time_point now) {
+        const auto place = book.place(wish, all, {}, now);
+        book.release(place->engine.id, wish, send_outcome::abandoned, now);
+        return place->engine.id == all[0].id;
+    };
+    fail(at(0ms));
+    CHECK_FALSE(used(at(100ms)));
+    fail(at(300ms));
+    CHECK_FALSE(used(at(700ms)));
+    CHECK_FALSE(used(at(790ms)));
+}
+
+TEST_CASE("The last engine is used even after a failure", "[placement]")
+{
+    const auto all = engines(1);
+    placement_book book;
+    const placement_request wish{models, "", 0, 0, 0};
+    book.place(wish, all, {}, at(0ms));
+    book.release(all[0].id, wish, send_outcome::broken, at(0ms));
+    CHECK(book.place(wish, all, {}, at(1ms)));
+    CHECK_FALSE(book.place(wish, all, {all[0].id}, at(1ms)));
+}
+
+TEST_CASE("The retry budgets of all VMs stay within the fleet's", "[retry]")
+{
+    CHECK(rc::check("retry budget", [] {
+        const retry_budget_options options{0.2, 56, 10s};
+        const auto vms = *rc::gen::inRange<std::uint32_t>(1, 12);
+        std::vector<retry_budget> budgets(vms, retry_budget(options));
+        std::deque<time_point> requests;
+        std::deque<time_point> repeats;
+        auto now = at(0ms);
+        for (int step = 0; step < 600; ++step) {
+            now += milliseconds(*rc::gen::inRange(0, 90));
+            auto& one = budgets[*rc::gen::inRange<std::size_t>(0, vms)];
+            if (*rc::gen::inRange(0, 3) == 0) {
+                one.on_request(models, now);
+                requests.push_back(now);
+            }
+            else if (one.try_repeat(models, vms, now)) {
+                repeats.push_back(now);
+            }
+            const auto recent = [&](const auto& times) {
+                return static_cast<double>(
+                    std::count_if(times.begin(), times.end(),
+                                  [&](auto time) { return time + 10s > now; }));
+            };
+            RC_ASSERT(recent(repeats) <= 0.2 * recent(requests) + 56 + 1);
+        }
+    }));
+}
+
+TEST_CASE("Only shared parts count as a prompt's shared prefix", "[request]")
+{
+    request_head head;
+    CHECK(head.shared_prefix().empty());
+    head.prompt = {{"own", 50}};
+    CHECK(head.shared_prefix().empty());
+    CHECK(head.shared_tokens() == 0);
+    head.prompt = {{"all", 100}, {"session", 30}, {"own", 50}};
+    CHECK(head.shared_prefix() == "session");
+    CHECK(head.shared_tokens() == 130);
+}
