Bound a wallet before its first write is known, and close runs by the median

Cause of the fault: a run whose first write was in doubt was bound by that write alone, so it could spend a grant that the ledger never held. Ruled out: the evidence for silences (no closing in 400 scenes was shorter than the truth).

Headroom follows the demand's bound only once a customer's traffic has been seen for 8 s.

--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -122,12 +122,15 @@
     // Before demand is known, the others' is not known either.
     if (usage.rate <= 0)
         part = std::min(part, 1.0 / static_cast<double>(vms));
-    const auto spread = static_cast<token_count>(
-        std::min(policy.spread_share * part * static_cast<double>(rest),
-                 policy.spread_limit * static_cast<double>(own.wanted)));
+    const auto spread = policy.spread_share * part * static_cast<double>(rest);
+    const auto unknown =
+        std::max(0.0, 1.0 - usage.history / policy.history_seconds);
+    const auto headroom = static_cast<token_count>(std::min(
+        spread, std::max(policy.spread_limit * static_cast<double>(own.wanted),
+                         unknown * spread)));
     const auto free = prepaid - account.closed - sums.others_granted;
     const auto wish_total =
-        own.spent + std::max(spread, own.held + usage.missing);
+        own.spent + std::max(headroom, own.held + usage.missing);
     own.granted = std::max(own.spent + own.held, std::min(wish_total, free));
     own.open =
         std::max(usage.missing,
@@ -136,6 +139,10 @@
                                               policy.open_largest));
     own.open = std::max(own.open, policy.floor);
     own.slope = static_cast<token_count>(usage.rate * policy.slope_factor) + 1;
+    // An unknown rate may turn out to be a good part of the headroom.
+    const auto guess = unknown * static_cast<double>(headroom);
+    own.open = std::max(own.open, static_cast<token_count>(guess / 8));
+    own.slope = std::max(own.slope, static_cast<token_count>(guess / 10));
 }
 
 } // namespace
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -17,7 +17,10 @@
     double cover_seconds = 10; ///< Spending that headroom outlasts.
     /** Headroom is at most so many times what is wanted: a run that ends after
      *  a long silence is charged all of it. */
-    double spread_limit = 1.5;
+    double spread_limit = 2.5;
+    /** Until a customer's traffic has been seen so long, the bound gives way:
+     *  its rate is not known. */
+    double history_seconds = 8;
     double open_seconds = 2;    ///< Spending that is open at once.
     double open_largest = 1.0;  ///< Largest requests open besides.
     double slope_factor = 1.5;  ///< Opening against the rate.
@@ -74,7 +77,8 @@
  * @return Longest time that can lie between the run's last write and its end:
  *         by the VM's own clock if it has not been restarted, by the caller's
  *         clock if it wrote before the run did, or by the time of day on more
- *         than half of the VMs; none if there is no such evidence yet.
+ *         than half of the VMs, two at least; none if there is no such evidence
+ * yet.
  */
 std::optional<duration> longest_silence(const ledger& now,
                                         const ledger_renewal& wish,
--- a/packages/ledger/ledger_silence.cpp
+++ b/packages/ledger/ledger_silence.cpp
@@ -13,6 +13,8 @@
 
 /** A VM that was off longer may have another start with a like reading. */
 constexpr milliseconds longest_restart{30'000};
+/** A single clock proves nothing: it may have been set back. */
+constexpr std::size_t least_witnesses = 2;
 
 /** @return The newest run of a VM besides a given one, or nullptr. */
 const ledger_member* successor(const ledger& now, const vm_id& vm,
@@ -61,17 +63,16 @@
     return std::nullopt;
 }
 
-/** By the time of day on most VMs, each measured from a write before the
- *  run's last to a write after its end; the longest counts, so one honest
- *  clock among them is enough. */
+/** By the time of day on most VMs, each measured from its last write before
+ *  the run's to one after the run's end. Each honest clock gives a bound; the
+ *  median is at least one of them while no more than half are off. */
 std::optional<duration> by_wall_clocks(const ledger& now,
                                        const ledger_renewal& wish,
                                        const ledger_member& ended,
                                        std::uint64_t ended_by)
 {
     std::set<vm_id> all;
-    std::set<vm_id> witnesses;
-    auto longest = milliseconds(0);
+    std::map<vm_id, std::int64_t> spans;
     for (const auto& [run, member] : now.members) {
         all.insert(member.vm);
         const auto before = wall_before(member, ended.turn);
@@ -84,12 +85,16 @@
                 continue;
             after = next->wall_ms;
         }
-        witnesses.insert(member.vm);
-        longest = std::max(longest, milliseconds(after - *before));
+        const auto known = spans.try_emplace(member.vm, after - *before).first;
+        known->second = std::min(known->second, after - *before);
     }
-    if (witnesses.size() * 2 <= all.size())
+    if (spans.size() < least_witnesses || spans.size() * 2 <= all.size())
         return std::nullopt;
-    return longest;
+    std::vector<std::int64_t> sorted;
+    for (const auto& [vm, span] : spans)
+        sorted.push_back(span);
+    std::sort(sorted.begin(), sorted.end());
+    return milliseconds(sorted[sorted.size() / 2]);
 }
 
 } // namespace
--- a/packages/ledger/test/ledger_test.cpp
+++ b/packages/ledger/test/ledger_test.cpp
@@ -107,6 +107,17 @@
     CHECK(purse.reserve(acme, 4'000, at(0ms).now));
 }
 
+TEST_CASE("A first share that may not have been written opens nothing",
+          "[wallet]")
+{
+    wallet purse;
+    wallet_terms first{{.granted = 1'000, .open = 1'000}, at(0ms).now};
+    purse.propose(acme, first);
+    CHECK_FALSE(purse.reserve(acme, 1, at(20s).now));
+    purse.confirm(acme, first);
+    CHECK(purse.reserve(acme, 1'000, at(20s).now));
+}
+
 TEST_CASE("A proposal takes in what was reserved since the reading", "[wallet]")
 {
     wallet purse;
@@ -213,7 +224,7 @@
     CHECK_FALSE(longest_silence(value, wish, instance_id("a.1")));
     value.members[instance_id("b.2")] = member("b", 12, 7'900);
     value.turn = 12;
-    // Two of three are back; the longest reading counts. The run of c has no
+    // Two of three are back; the higher reading counts. The run of c has no
     // successor, so it may live.
     const auto silence = longest_silence(value, wish, instance_id("b.1"));
     REQUIRE(silence);
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -39,6 +39,8 @@
     auto& known = entries_[customer];
     auto& usage = known.usage;
     usage.largest = std::max(usage.largest, tokens);
+    if (known.first_seen == time_point{})
+        known.first_seen = now;
     if (usage.spent + usage.reserved + tokens > known.limit(now)) {
         usage.missing = std::max(usage.missing, tokens);
         return false;
@@ -76,6 +78,9 @@
             known.rated_at = now;
             known.rated_spent = usage.spent;
         }
+        if (known.first_seen != time_point{})
+            usage.history =
+                std::chrono::duration<double>(now - known.first_seen).count();
         result[customer] = usage;
         usage.missing = 0;
         usage.largest -= static_cast<token_count>(
@@ -92,6 +97,9 @@
     share.held = std::max(share.held, known.usage.spent + known.usage.reserved -
                                           terms.offset - share.spent);
     share.granted = std::max(share.granted, share.spent + share.held);
+    // Until a write is known to be done, nothing is granted.
+    if (known.terms.empty())
+        known.terms.push_back({{}, terms.sent, terms.offset});
     known.terms.push_back(terms);
 }
 
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -20,6 +20,7 @@
     token_count largest = 0;  ///< Largest reservation of late.
     token_count missing = 0;  ///< Asked for and not covered, since last read.
     double rate = 0;          ///< Settled tokens per second, smoothed.
+    double history = 0;       ///< Seconds since the first reservation.
 
     bool operator==(const wallet_usage&) const = default;
 };
@@ -80,6 +81,7 @@
         std::vector<wallet_terms> terms; ///< All of them bind.
         token_count rest = std::numeric_limits<token_count>::max();
         time_point short_until{};
+        time_point first_seen{};
         token_count rated_spent = 0;
         time_point rated_at{};
 
