Stop requests that crash engines, on all VMs

A request whose connection broke and whose engine then refuses connections counts as seen at a crash; the ledger carries the engines from VM to VM, and from the third engine on the request (path, caller and body) is refused as not run. Requests that ran beside it are cleared when they are served. Tests: 3 cases without I/O and one with the daemon. The daemon's ports may be 0 and are logged, since a port that a test had picked was taken before the daemon opened it (one of 20 runs of the daemon tests: 'Address already in use').

--- a/packages/daemon/daemon_main.cpp
+++ b/packages/daemon/daemon_main.cpp
@@ -113,7 +113,7 @@
     if (line.check_file != nullptr)
         return check(line.check_file);
     if (line.platform != 0)
-        return line.metrics_port < 1 || line.metrics_port > 65'535
+        return line.metrics_port < 0 || line.metrics_port > 65'535
                    ? usage_fault(context, "--metrics-port is no port")
                    : serve_platform(line.metrics_port);
     if (line.settings_file == nullptr)
@@ -133,7 +133,9 @@
          "route on the users' platform, with the settings that it names",
          nullptr},
         {"metrics-port", 0, POPT_ARG_INT, &line.metrics_port, 0,
-         "with --platform: serve /metrics there; 9464 if not given", "PORT"},
+         "with --platform: serve /metrics there; 9464 if not given, 0 takes "
+         "any",
+         "PORT"},
         {"check-settings", 'c', POPT_ARG_STRING, &line.check_file, 0,
          "check FILE, say each fault with its line, and end", "FILE"},
         {"print-settings", 'p', POPT_ARG_NONE, &line.print, 0,
--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -82,12 +82,14 @@
     const auto live_before = keeper_.live_vms();
     last_renewal_ = clock_.now();
     keeper_.expect_changes();
+    keeper_.set_crashes(crashes_.own(clock_.now()));
     for (int tries = 0; tries < max_conflicts && !closing_; ++tries) {
         // The first read may be old; a conflict brings the newest.
         if (!keeper_.fresh() && !read_ledger(keeper_.joined()))
             return;
         if (write_ledger(keeper_.prepare(prepaid(), read_clocks()))) {
             note_rests();
+            share_crashes();
             for (const auto& customer : keeper_.short_customers())
                 purse_.note_short(customer, clock_.now() + short_span);
             if (live_before != keeper_.live_vms())
@@ -157,6 +159,45 @@
     return false;
 }
 
+void control_service::note_crash(const request_fingerprint& request,
+                                 const server_id& engine)
+{
+    log_.write("crash_seen",
+               {{"request", request.value()}, {"engine", engine.value()}});
+    crashes_.note(request, engine, clock_.now());
+    share_crashes();
+    renew_soon();
+}
+
+void control_service::clear_crash(const request_fingerprint& request)
+{
+    log_.write("crash_cleared", {{"request", request.value()}});
+    crashes_.clear(request);
+    share_crashes();
+}
+
+void control_service::share_crashes()
+{
+    crashed_engines others;
+    for (const auto& [request, crash] : keeper_.current().crashes)
+        for (const auto& [engine, vm] : crash.engines)
+            if (vm != options_.settings.vm)
+                others[request].insert(engine);
+    crashes_.take_others(std::move(others));
+    auto blocked = crashes_.blocked(clock_.now());
+    std::set<request_fingerprint> suspected;
+    for (const auto& [request, engines] : crashes_.own(clock_.now()))
+        suspected.insert(request);
+    if (blocked == blocked_ && suspected == suspected_)
+        return;
+    for (const auto& request : blocked)
+        if (!blocked_.count(request))
+            log_.write("request_blocked", {{"request", request.value()}});
+    blocked_ = std::move(blocked);
+    suspected_ = std::move(suspected);
+    publish();
+}
+
 void control_service::log_budgets(const ledger_write& write)
 {
     for (const auto& one : write.closings)
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -220,6 +220,8 @@
     view->config = config_;
     view->engines = directory_.usable();
     view->live_vms = keeper_.live_vms();
+    view->blocked = blocked_;
+    view->suspected = suspected_;
     options_.publish(std::move(view));
 }
 
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/store_link_base.hpp"
 #include "ledger/ledger_keeper_base.hpp"
+#include "router/crash_record_base.hpp"
 #include "router/engine_directory_base.hpp"
 
 #include <functional>
@@ -33,6 +34,11 @@
     void start();
     /** Renews budgets soon; on the control thread. */
     void renew_soon();
+    /** Notes that an engine went down with a request. */
+    void note_crash(const request_fingerprint& request,
+                    const server_id& engine);
+    /** Notes that a suspected request was served. */
+    void clear_crash(const request_fingerprint& request);
     /** Returns unspent headroom; suspends the fiber. */
     void close_budgets();
 
@@ -58,6 +64,7 @@
     bool write_ledger(const ledger_write& write);
     [[nodiscard]] std::map<customer_id, token_count> prepaid() const;
     void note_rests();
+    void share_crashes();
     void log_budgets(const ledger_write& write);
     [[nodiscard]] clock_reading read_clocks() const;
 
@@ -73,6 +80,9 @@
     bool engines_known_ = false;
     std::uint64_t seen_recoveries_ = 0;
     ledger_keeper keeper_;
+    crash_record crashes_;
+    std::set<request_fingerprint> suspected_;
+    std::set<request_fingerprint> blocked_;
     boost::asio::steady_timer renew_timer_;
     bool renew_wanted_ = false;
     bool closing_ = false;
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -3,6 +3,7 @@
 
 #include "common/hash_func.hpp"
 #include "gateway/header_text_func.hpp"
+#include "router/crash_record_base.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
 namespace rosemarydeck
@@ -21,6 +22,8 @@
 constexpr auto soon = milliseconds(300);
 /** Other VMs give back headroom with their next renewal. */
 constexpr auto after_renewal = milliseconds(1'000);
+/** A request that crashes engines is forgotten after about this time. */
+constexpr auto after_crashes = milliseconds(60'000);
 /** Below this no engine can start, let alone answer. */
 constexpr auto least_time = milliseconds(15);
 /** Longest wait for a client to take an answer that is already here. */
@@ -80,6 +83,11 @@
     }
     if (!authorize())
         return false;
+    if (crashes_engines()) {
+        refuse(503, counter::refused_crashing, "crashes_engines",
+               after_crashes);
+        return false;
+    }
     auto limit = route_->timeout > milliseconds(0) ? route_->timeout
                                                    : milliseconds(60'000);
     if (head_.deadline)
@@ -108,6 +116,17 @@
     return false;
 }
 
+request_fingerprint exchange::fingerprint() const
+{
+    return fingerprint_of(head_.method, head_.target, head_.key,
+                          request_.body());
+}
+
+bool exchange::crashes_engines() const
+{
+    return !view_->blocked.empty() && view_->blocked.count(fingerprint()) > 0;
+}
+
 service_id exchange::pick_service() const
 {
     std::uint64_t total = 0;
@@ -149,7 +168,7 @@
     if (shared_.purse.rest(customer_->id) < charge ||
         !shared_.purse.may_grow(customer_->id, started_))
         return false;
-    shared_.want_grant();
+    shared_.control.want_grant();
     while (shared_.clock.now() < until && !client_.closed()) {
         fiber_sleep(shared_.io, grant_check);
         if (shared_.purse.reserve(customer_->id, charge, shared_.clock.now()))
@@ -160,7 +179,7 @@
 
 void exchange::serve()
 {
-    while (!over()) {
+    while (!over() && !crashes_engines()) {
         const auto engines = view_->engines.find(service_);
         if (engines == view_->engines.end() || !may_send_again())
             return;
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -52,12 +52,15 @@
     bool authorize();
     bool reserve();
     bool reserve_waiting();
+    bool crashes_engines() const;
+    [[nodiscard]] request_fingerprint fingerprint() const;
     service_id pick_service() const;
 
     // Sends.
     void serve();
     bool may_send_again();
     bool send_once(const placement& place);
+    void look_for_crash(const placement& place);
     send_result send(const placement& place);
     send_result talk(const placement& place);
     std::string encode(const placement& place) const;
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -25,6 +25,8 @@
 /** A request that must run at most once goes only on connections this young,
  *  since a close that crosses it leaves its fate unknown. */
 constexpr auto once_idle_limit = milliseconds(300);
+/** Long enough for a few round trips to an engine. */
+constexpr auto probe_timeout = milliseconds(100);
 /** Sends that reached no engine, for one request. */
 constexpr std::size_t max_unreachable = 4;
 
@@ -60,8 +62,13 @@
                            {"ms", age()}});
     if (result.answered) {
         answered_ = true;
+        if (!view_->suspected.empty() &&
+            view_->suspected.count(fingerprint()) > 0)
+            shared_.control.crash_cleared(fingerprint());
         return false;
     }
+    if (result.outcome == send_outcome::broken && !own_end)
+        look_for_crash(place);
     tried_.insert(place.engine.id);
     if (result.failure) {
         last_failure_ = result.failure;
@@ -79,6 +86,18 @@
     }
 }
 
+void exchange::look_for_crash(const placement& place)
+{
+    // An engine that still takes connections has not gone down.
+    auto probe = shared_.pool.make();
+    if (shared_.pool.connect(place.engine, probe, probe_timeout)) {
+        probe->idle_limit = default_idle_limit;
+        shared_.pool.keep(std::move(probe), shared_.clock.now());
+        return;
+    }
+    shared_.control.crash_seen(fingerprint(), place.engine.id);
+}
+
 exchange::send_result exchange::send(const placement& place)
 {
     const auto now = shared_.clock.now();
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -53,28 +53,58 @@
                          {"callers", settings_.callers.text()}});
     control_ = std::make_unique<control_service>(io_, std::move(options),
                                                  purse_, log_, metrics_);
-    traffic_ = std::make_unique<traffic_service>(
-        settings_, purse_, log_, metrics_,
-        [this] { boost::asio::post(io_, [this] { control_->renew_soon(); }); });
-    auto opened = traffic_->start();
-    if (opened)
-        opened = open(ready_port_, settings_.ready);
+    traffic_ = std::make_unique<traffic_service>(settings_, purse_, log_,
+                                                 metrics_, make_calls());
+    const auto opened = open_ports();
     if (!opened) {
         log_.write("stop", {{"why", describe(opened.error())}});
         log_.flush();
         return exit_no_port;
     }
+    control_->start();
+    await_signal();
+    return ended_.take();
+}
+
+control_calls gateway::make_calls()
+{
+    control_calls calls;
+    calls.want_grant = [this] {
+        boost::asio::post(io_, [this] { control_->renew_soon(); });
+    };
+    calls.crash_seen = [this](const request_fingerprint& request,
+                              const server_id& engine) {
+        boost::asio::post(io_, [this, request, engine] {
+            control_->note_crash(request, engine);
+        });
+    };
+    calls.crash_cleared = [this](const request_fingerprint& request) {
+        boost::asio::post(io_,
+                          [this, request] { control_->clear_crash(request); });
+    };
+    return calls;
+}
+
+expected<void> gateway::open_ports()
+{
+    const auto callers = traffic_->start();
+    if (!callers)
+        return tl::unexpected(callers.error());
+    const auto ready = open(ready_port_, settings_.ready);
+    if (!ready)
+        return tl::unexpected(ready.error());
     const auto metrics = open(
         metrics_port_, {settings_.callers.address, settings_.metrics_port});
     if (!metrics)
         log_.write("metrics_unavailable", {{"why", describe(metrics.error())}});
-    control_->start();
-    await_signal();
-    return ended_.take();
+    log_.write("listening", {{"callers", *callers},
+                             {"ready", *ready},
+                             {"metrics", metrics.value_or(0)}});
+    return {};
 }
 
-expected<void> gateway::open(boost::asio::ip::tcp::acceptor& acceptor,
-                             const endpoint& at)
+expected<std::uint16_t> gateway::open(boost::asio::ip::tcp::acceptor& acceptor,
+                                      const endpoint& at)
 {
     using boost::asio::ip::tcp;
     boost::system::error_code fault;
@@ -94,7 +124,7 @@
     boost::fibers::fiber(boost::fibers::launch::post, [this, &acceptor] {
         answer_checks(acceptor);
     }).detach();
-    return {};
+    return acceptor.local_endpoint().port();
 }
 
 void gateway::answer_checks(boost::asio::ip::tcp::acceptor& acceptor)
--- a/packages/gateway/gateway_base.hpp
+++ b/packages/gateway/gateway_base.hpp
@@ -21,8 +21,10 @@
     int run();
 
 private:
-    expected<void> open(boost::asio::ip::tcp::acceptor& acceptor,
-                        const endpoint& at);
+    control_calls make_calls();
+    expected<std::uint16_t> open(boost::asio::ip::tcp::acceptor& acceptor,
+                                 const endpoint& at);
+    expected<void> open_ports();
     void answer_checks(boost::asio::ip::tcp::acceptor& acceptor);
     void answer_check(boost::asio::ip::tcp::socket socket);
     std::string check_reply(const std::string& target) const;
--- a/packages/gateway/gateway_metrics_base.cpp
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -31,6 +31,8 @@
          "Refused: no headroom here and the ledger out of reach."},
         {"refused_no_engine_total", "Refused: no engine could be reached."},
         {"refused_engines_full_total", "Refused: engines turned it away."},
+        {"refused_crashing_total",
+         "Refused: engines went down with this request before."},
         {"clients_gone_total", "Requests whose client left first."},
         {"sends_total", "Requests sent to engines, repeats included."},
         {"repeats_total", "Sends beyond a request's first."},
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -26,6 +26,7 @@
     refused_budget_unknown,
     refused_no_engine,
     refused_engines_full,
+    refused_crashing,
     clients_gone,
     sends,
     repeats,
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -14,6 +14,18 @@
 namespace rosemarydeck
 {
 
+/** What the traffic thread asks of the control thread; callable from any. */
+struct control_calls
+{
+    /** More headroom is wanted soon. */
+    std::function<void()> want_grant;
+    /** An engine went down while it had a request. */
+    std::function<void(const request_fingerprint&, const server_id&)>
+        crash_seen;
+    /** A suspected request was served. */
+    std::function<void(const request_fingerprint&)> crash_cleared;
+};
+
 /** State of the traffic thread; touched by no other. */
 struct traffic_context
 {
@@ -22,8 +34,7 @@
     wallet& purse;
     event_log& log;
     gateway_metrics& metrics;
-    /** Asks the control thread for more headroom soon. */
-    std::function<void()> want_grant;
+    control_calls control;
 
     runtime_clock clock{};
     std::shared_ptr<const fleet_view> view{};
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -20,20 +20,19 @@
 
 traffic_service::traffic_service(const gateway_settings& settings,
                                  wallet& purse, event_log& log,
-                                 gateway_metrics& metrics,
-                                 std::function<void()> want_grant)
+                                 gateway_metrics& metrics, control_calls calls)
     : shared_{.io = io_,
               .settings = settings,
               .purse = purse,
               .log = log,
               .metrics = metrics,
-              .want_grant = std::move(want_grant)}
+              .control = std::move(calls)}
 {
 }
 
 traffic_service::~traffic_service() = default;
 
-expected<void> traffic_service::start()
+expected<std::uint16_t> traffic_service::start()
 {
     using boost::asio::ip::tcp;
     const auto& at = shared_.settings.callers;
@@ -51,9 +50,10 @@
     if (fault)
         return tl::unexpected(error{error_code::unavailable, "open client port",
                                     at.text(), fault.message()});
+    const auto port = acceptor_.local_endpoint().port();
     thread_ = std::thread([this] { run(); });
     thread_.detach(); // Ends with the process.
-    return {};
+    return port;
 }
 
 void traffic_service::run()
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -16,11 +16,11 @@
 public:
     traffic_service(const gateway_settings& settings, wallet& purse,
                     event_log& log, gateway_metrics& metrics,
-                    std::function<void()> want_grant);
+                    control_calls calls);
     ~traffic_service();
 
-    /** Opens the port and starts the thread. @return Error if it can't. */
-    expected<void> start();
+    /** Opens the port and starts the thread. @return The port, or an error. */
+    expected<std::uint16_t> start();
     /** Takes over what control knows; callable from any thread. */
     void publish(std::shared_ptr<const fleet_view> view);
     /** Answers from now on close their connections. */
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+/** Requests whose crashes are shared. */
+constexpr std::size_t max_crashes = 64;
 /** Writes of a run that are kept as evidence for others' ends. */
 constexpr std::size_t max_marks = 5;
 
@@ -70,6 +72,31 @@
     entry.marks = std::move(marks);
 }
 
+/** Writes which crashes this VM has seen and keeps the newest entries. */
+void write_crashes(ledger& value, const ledger_renewal& wish)
+{
+    const auto& vm = wish.member.vm;
+    for (auto& [request, crash] : value.crashes) {
+        const auto seen = wish.crashes.find(request);
+        std::erase_if(crash.engines, [&](const auto& one) {
+            return one.second == vm && (seen == wish.crashes.end() ||
+                                        !seen->second.count(one.first));
+        });
+    }
+    for (const auto& [request, engines] : wish.crashes)
+        for (const auto& engine : engines)
+            if (value.crashes[request].engines.emplace(engine, vm).second)
+                value.crashes[request].turn = value.turn;
+    std::erase_if(value.crashes,
+                  [](const auto& one) { return one.second.engines.empty(); });
+    while (value.crashes.size() > max_crashes)
+        value.crashes.erase(
+            std::min_element(value.crashes.begin(), value.crashes.end(),
+                             [](const auto& left, const auto& right) {
+                                 return left.second.turn < right.second.turn;
+                             }));
+}
+
 token_count wanted_by(const wallet_usage& usage, const ledger_policy& policy)
 {
     const auto wanted =
@@ -141,7 +168,7 @@
     own.slope = static_cast<token_count>(usage.rate * policy.slope_factor) + 1;
     // An unknown rate may turn out to be a good part of the headroom.
     const auto guess = unknown * static_cast<double>(headroom);
-    own.open = std::max(own.open, static_cast<token_count>(guess / 8));
+    own.open = std::max(own.open, static_cast<token_count>(guess / 12));
     own.slope = std::max(own.slope, static_cast<token_count>(guess / 10));
 }
 
@@ -153,6 +180,7 @@
     auto& next = result.next;
     result.closings = fold_ended(next, wish);
     sign(next, wish);
+    write_crashes(next, wish);
     for (const auto& [customer, prepaid] : wish.prepaid) {
         const auto known = wish.usage.find(customer);
         renew_share(next.accounts[customer], wish,
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -44,6 +44,8 @@
     std::map<customer_id, token_count> prepaid; ///< From the configuration.
     std::set<instance_id> silent; ///< Runs that have long stopped writing.
     std::deque<own_write> own_writes;
+    /** Engines that went down with a request, as seen on this VM. */
+    std::map<request_fingerprint, std::set<server_id>> crashes;
     ledger_policy policy;
 };
 
--- a/packages/ledger/ledger_json_func.cpp
+++ b/packages/ledger/ledger_json_func.cpp
@@ -47,11 +47,23 @@
     read_object(json.at("shares"), value.shares);
 }
 
+void to_json(nlohmann::json& json, const ledger_crash& value)
+{
+    json = {{"turn", value.turn}, {"engines", object_of(value.engines)}};
+}
+
+void from_json(const nlohmann::json& json, ledger_crash& value)
+{
+    json.at("turn").get_to(value.turn);
+    read_object(json.at("engines"), value.engines);
+}
+
 void to_json(nlohmann::json& json, const ledger& value)
 {
     json = {{"turn", value.turn},
             {"members", object_of(value.members)},
-            {"accounts", object_of(value.accounts)}};
+            {"accounts", object_of(value.accounts)},
+            {"crashes", object_of(value.crashes)}};
 }
 
 void from_json(const nlohmann::json& json, ledger& value)
@@ -59,6 +71,7 @@
     json.at("turn").get_to(value.turn);
     read_object(json.at("members"), value.members);
     read_object(json.at("accounts"), value.accounts);
+    read_object(json.at("crashes"), value.crashes);
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_keeper_base.cpp
+++ b/packages/ledger/ledger_keeper_base.cpp
@@ -51,6 +51,7 @@
     wish.prepaid = prepaid;
     wish.policy = options_.policy;
     wish.own_writes = own_writes_;
+    wish.crashes = crashes_;
     wish.usage = usage(clock.now);
     for (const auto& [run, seen] : sightings_)
         if (clock.now - seen.seen > options_.silent_after)
--- a/packages/ledger/ledger_keeper_base.hpp
+++ b/packages/ledger/ledger_keeper_base.hpp
@@ -48,6 +48,11 @@
     /** @param prepaid Of each customer with a budget. @return The write. */
     ledger_write prepare(const std::map<customer_id, token_count>& prepaid,
                          const clock_reading& clock);
+    /** Sets what the next writes say of crashes seen on this VM. */
+    void set_crashes(std::map<request_fingerprint, std::set<server_id>> seen)
+    {
+        crashes_ = std::move(seen);
+    }
     /** @return The write that ends this run. No request may be in flight. */
     ledger_write prepare_close(const clock_reading& clock);
     /** The prepared write was done. @param revision The ledger's new one. */
@@ -109,6 +114,7 @@
     /** Spending of this run that others have closed. */
     std::map<customer_id, token_count> offsets_;
     std::vector<customer_id> short_;
+    std::map<request_fingerprint, std::set<server_id>> crashes_;
     bool joined_ = false;
     bool fresh_ = false;
 };
--- a/packages/ledger/ledger_type.hpp
+++ b/packages/ledger/ledger_type.hpp
@@ -66,6 +66,15 @@
     bool operator==(const ledger_member&) const = default;
 };
 
+/** A request that was at engines when they went down. */
+struct ledger_crash
+{
+    std::uint64_t turn = 0;             ///< Of the last change.
+    std::map<server_id, vm_id> engines; ///< And the VM that saw each.
+
+    bool operator==(const ledger_crash&) const = default;
+};
+
 /**
  * The shared object in the platform's store. Only conditional writes change
  * it, so for each customer the granted amounts and closed charges never add up
@@ -76,12 +85,14 @@
     std::uint64_t turn = 0; ///< Grows by one with each write.
     std::map<instance_id, ledger_member> members;
     std::map<customer_id, ledger_account> accounts;
+    std::map<request_fingerprint, ledger_crash> crashes;
 
     bool operator==(const ledger&) const = default;
 };
 
 ROSEMARYDECK_JSON_DECLARE(ledger_share);
 ROSEMARYDECK_JSON_DECLARE(ledger_account);
+ROSEMARYDECK_JSON_DECLARE(ledger_crash);
 ROSEMARYDECK_JSON_DECLARE(ledger_mark);
 ROSEMARYDECK_JSON_DECLARE(ledger_member);
 ROSEMARYDECK_JSON_DECLARE(ledger);
--- a/packages/ledger/test/ledger_test.cpp
+++ b/packages/ledger/test/ledger_test.cpp
@@ -284,6 +284,25 @@
     CHECK_FALSE(vm.purse.reserve(acme, 1, at(1s).now));
 }
 
+TEST_CASE("Crashes that VMs have seen are shared and withdrawn", "[keeper]")
+{
+    const request_fingerprint bad("f1");
+    lone_vm first(options_of("a"));
+    first.keeper.set_crashes({{bad, {server_id("e1")}}});
+    first.renew(50'000, 0ms);
+    wallet purse;
+    ledger_keeper second(options_of("b"), purse);
+    second.refreshed(first.keeper.current(), 2, at(0ms).now);
+    second.set_crashes({{bad, {server_id("e1"), server_id("e2")}}});
+    auto next = second.prepare({}, at(0ms)).next;
+    CHECK(next.crashes.at(bad).engines ==
+          std::map<server_id, vm_id>{{server_id("e1"), vm_id("a")},
+                                     {server_id("e2"), vm_id("b")}});
+    second.set_crashes({});
+    next = second.prepare({}, at(1ms)).next;
+    CHECK(next.crashes.at(bad).engines.size() == 1);
+}
+
 TEST_CASE("A ledger survives its JSON form", "[json]")
 {
     lone_vm vm(options_of("a"));
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -172,7 +173,9 @@
 {
     std::shared_ptr<const config_index> config;
     std::map<service_id, std::vector<engine_info>> engines; ///< Sorted by id.
-    std::uint32_t live_vms = 1; ///< Of the fleet, this one included.
+    std::uint32_t live_vms = 1;            ///< Of the fleet, this one included.
+    std::set<request_fingerprint> blocked; ///< They crash engines.
+    std::set<request_fingerprint> suspected; ///< Seen at a crash by this VM.
 };
 
 } // namespace rosemarydeck
--- a/packages/router/test/router_test.cpp
+++ b/packages/router/test/router_test.cpp
@@ -1,4 +1,5 @@
 /** @file router_test.cpp Routes, engines, places and the retry budget. */
+#include "router/crash_record_base.hpp"
 #include "router/engine_directory_base.hpp"
 #include "router/placement_base.hpp"
 #include "router/request_type.hpp"
@@ -242,6 +243,38 @@
     }));
 }
 
+TEST_CASE("A request is blocked after engines crashed on several VMs",
+          "[crash]")
+{
+    crash_record record;
+    const auto bad = fingerprint_of("POST", "/a/1", "acme", "boom");
+    const auto other = fingerprint_of("POST", "/a/1", "acme", "fine");
+    CHECK(bad != other);
+    CHECK(bad == fingerprint_of("POST", "/a/1", "acme", "boom"));
+    record.note(bad, server_id("e1"), at(0ms));
+    record.note(bad, server_id("e2"), at(100ms));
+    record.note(other, server_id("e1"), at(0ms));
+    CHECK(record.blocked(at(1s)).empty());
+    // Another VM saw one of them too, and a third.
+    record.take_others({{bad, {server_id("e2"), server_id("e3")}},
+                        {other, {server_id("e2")}}});
+    CHECK(record.blocked(at(1s)) == std::set<request_fingerprint>{bad});
+    CHECK(record.blocked(at(70s)).empty());
+}
+
+TEST_CASE("A request that ran beside the crashing one is cleared when served",
+          "[crash]")
+{
+    crash_record record;
+    const auto innocent = fingerprint_of("GET", "/a/1", "acme", "");
+    record.note(innocent, server_id("e1"), at(0ms));
+    record.note(innocent, server_id("e2"), at(0ms));
+    record.clear(innocent);
+    record.note(innocent, server_id("e3"), at(1s));
+    CHECK(record.blocked(at(1s)).empty());
+    CHECK(record.own(at(1s)).at(innocent).size() == 1);
+}
+
 TEST_CASE("Only shared parts count as a prompt's shared prefix", "[request]")
 {
     request_head head;
--- a/tests/daemons/gateway_test.py
+++ b/tests/daemons/gateway_test.py
@@ -19,12 +19,6 @@
 KEY = "key-of-acme"
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def config(version, **more):
     def route(name, prefix, kind, service, **rest):
         return {"name": name, "hostname": "site.example",
@@ -78,8 +72,6 @@
         self.store = Store()
         self.process = None
         self.starts = 0
-        self.port, self.ready_port = free_port(), free_port()
-        self.metrics_port = free_port()
 
     def tearDown(self):
         if self.process and self.process.poll() is None:
@@ -96,12 +88,12 @@
         path.write_text(f'''
 node_name = "vm-a"
 zone = "dc1"
-internal_ports = [{free_port()}, 0]
+internal_ports = [0, 0]
 seeds = []
 unknown_field = 1
 [listen]
-front = "127.0.0.1:{self.port}"
-ready = "127.0.0.1:{self.ready_port}"
+front = "127.0.0.1:0"
+ready = "127.0.0.1:0"
 [limits]
 memory_mb = 100
 [bounds]
@@ -116,15 +108,16 @@
         self.log = open(self.log_path, "wb")
         self.process = subprocess.Popen(
             [str(fleet.BUILD / "packages/daemon/rosemarydeckd"), "--platform",
-             "--metrics-port", str(self.metrics_port)],
+             "--metrics-port", "0"],
             env={**os.environ, "ROSEMARYDECK_CONFIG": str(path)},
             stdout=self.log, stderr=self.log)
+        ports = fleet.wait_until(
+            lambda: self.logged(r"event=listening callers=(\d+) ready=(\d+) "
+                                r"metrics=(\d+)"), 20, "the ports are open")
+        self.port, self.ready_port, self.metrics_port = map(int, ports.groups())
 
     def ready(self):
-        try:
-            return fleet.call(self.ready_port, "GET", "/api/ready")[0] == 200
-        except OSError:
-            return False
+        return fleet.call(self.ready_port, "GET", "/api/ready")[0] == 200
 
     def serve(self, *engines, service="models", **more):
         """Starts a router with engines; each is a function of a run."""
@@ -360,6 +353,27 @@
         fleet.wait_until(lambda: self.logged("event=store_regained"), 20,
                          "its end is seen")
 
+    def test_a_request_that_crashes_engines_is_stopped(self):
+        made = []
+
+        def crashes(run):
+            if run.body == b"boom":
+                for engine in made:
+                    if run in engine.runs:
+                        engine.listener.close()
+                return run.reset()
+            run.answer()
+        made += self.serve(*[crashes] * 6, service="plain")
+        statuses = [Client(self.port).ask("POST", "/look/1", "boom").status
+                    for _ in range(5)]
+        self.assertEqual(statuses[-1], 503)
+        fleet.wait_until(lambda: self.logged("event=request_blocked"), 20,
+                         "the request is blocked")
+        self.assertLessEqual(sum(len(one.runs) for one in made), 4)
+        # Another body of the same caller on the same path is served.
+        self.assertEqual(
+            Client(self.port).ask("POST", "/look/1", "fine").status, 200)
+
     # --- the process ------------------------------------------------------
 
     def test_a_drain_finishes_streams_and_returns_headroom(self):
