Divide large fleets into budget cells, and want less ahead of poor budgets

Change: a layout object, written once, gives each VM a cell with its own ledger and an equal part of each budget; what is wanted ahead shrinks with what is left for each VM. One cell up to 400 store writes a second, as before. Open: a cell's part of a budget is fixed; cells don't trade.

--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -1,6 +1,7 @@
 /** @file control_budget.cpp Keeps this VM's grants in step with the ledger. */
 #include "gateway/control_service_base.hpp"
 
+#include "ledger/ledger_layout_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
 #include <ctime>
@@ -13,6 +14,8 @@
 
 /** Time between renewals while nothing is wanted sooner. */
 constexpr auto renew_every = milliseconds(2'000);
+/** Added to it for each VM of the cell beyond the first ten. */
+constexpr auto renew_more = milliseconds(200);
 /** Least time between renewals that requests ask for. */
 constexpr auto renew_apart = milliseconds(50);
 /** Others give back headroom within their own renewals. */
@@ -50,9 +53,13 @@
 void control_service::keep_budgets()
 {
     while (!closing_) {
-        if (config_ && !closing_)
+        if (config_ && !closing_ && know_layout())
             renew_budgets();
-        auto pause = renew_wanted_ ? renew_apart : renew_every;
+        const auto vms = keeper_.live_vms();
+        milliseconds pause =
+            renew_every + renew_more * (vms > 10 ? vms - 10 : 0);
+        if (renew_wanted_)
+            pause = renew_apart;
         renew_wanted_ = false;
         // After a restart each write adds to the evidence for the others.
         if (has_ended_runs(keeper_.current()) &&
@@ -73,10 +80,38 @@
     std::map<customer_id, token_count> result;
     for (const auto& customer : config_->config().customers)
         if (customer.prepaid)
-            result[customer.id] = *customer.prepaid;
+            result[customer.id] = cell_part(*layout_, cell_, *customer.prepaid);
     return result;
 }
 
+bool control_service::know_layout()
+{
+    if (layout_)
+        return true;
+    const auto turn = store_.await_turn();
+    const auto wanted = layout_for(options_.settings.store_writes_per_s);
+    const auto reply = store_.call(
+        platform::write_call(platform::ledger_kind, platform::layout_name,
+                             nlohmann::json(wanted), 0));
+    if (!reply)
+        return false;
+    // A conflict brings the layout that an earlier VM has written.
+    const auto result = platform::decode_write(reply->status, reply->body);
+    if (!result || !result->object)
+        return false;
+    try {
+        layout_ = result->object->spec.get<ledger_layout>();
+    }
+    catch (const nlohmann::json::exception& fault) {
+        log_.write("layout_unreadable", {{"why", fault.what()}});
+        return false;
+    }
+    cell_ = cell_of(*layout_, options_.settings.vm);
+    ledger_name_ = "cell-" + std::to_string(cell_);
+    log_.write("ledger_layout", {{"cells", layout_->cells}, {"cell", cell_}});
+    return true;
+}
+
 void control_service::renew_budgets()
 {
     const auto live_before = keeper_.live_vms();
@@ -104,8 +139,8 @@
 bool control_service::read_ledger(bool stale)
 {
     const auto turn = store_.await_turn();
-    const auto reply = store_.call(platform::get_call(
-        platform::ledger_kind, platform::ledger_name, stale));
+    const auto reply = store_.call(
+        platform::get_call(platform::ledger_kind, ledger_name_, stale));
     if (!reply)
         return false;
     const auto object = platform::decode_object(reply->status, reply->body);
@@ -130,7 +165,7 @@
 {
     const auto turn = store_.await_turn();
     const auto reply = store_.call(
-        platform::write_call(platform::ledger_kind, platform::ledger_name,
+        platform::write_call(platform::ledger_kind, ledger_name_,
                              nlohmann::json(write.next), write.condition));
     if (!reply) {
         keeper_.unanswered();
@@ -233,6 +268,9 @@
 
 void control_service::note_rests()
 {
+    // With several cells the others' rest is not known, nor that it is spent.
+    if (layout_->cells > 1)
+        return;
     for (const auto& [customer, total] : prepaid())
         purse_.note_rest(customer, unspent(keeper_.current(), customer, total));
 }
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -219,7 +219,9 @@
     auto view = std::make_shared<fleet_view>();
     view->config = config_;
     view->engines = directory_.usable();
-    view->live_vms = keeper_.live_vms();
+    // So much for each cell: then the VMs' parts of the fleet's bounds add up
+    // to the whole, however many VMs the other cells have.
+    view->live_vms = keeper_.live_vms() * (layout_ ? layout_->cells : 1);
     view->blocked = blocked_;
     view->suspected = suspected_;
     options_.publish(std::move(view));
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -60,6 +60,7 @@
     // Budgets.
     void keep_budgets();
     void renew_budgets();
+    bool know_layout();
     bool read_ledger(bool stale);
     bool write_ledger(const ledger_write& write);
     [[nodiscard]] std::map<customer_id, token_count> prepaid() const;
@@ -80,6 +81,9 @@
     bool engines_known_ = false;
     std::uint64_t seen_recoveries_ = 0;
     ledger_keeper keeper_;
+    std::optional<ledger_layout> layout_;
+    std::uint32_t cell_ = 0;
+    std::string ledger_name_;
     crash_record crashes_;
     std::set<request_fingerprint> suspected_;
     std::set<request_fingerprint> blocked_;
--- a/packages/gateway/gateway_settings_type.hpp
+++ b/packages/gateway/gateway_settings_type.hpp
@@ -36,6 +36,7 @@
     endpoint control; ///< For other VMs of the fleet.
     std::vector<endpoint> seeds; ///< Control endpoints of a few VMs.
     endpoint store;
+    std::uint32_t store_writes_per_s = 400; ///< Of all VMs together.
     std::uint16_t metrics_port = 9464;
     std::uint64_t memory_mb = 0;
     std::uint32_t max_descriptors = 1'024;
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -97,14 +97,6 @@
                              }));
 }
 
-token_count wanted_by(const wallet_usage& usage, const ledger_policy& policy)
-{
-    const auto wanted =
-        usage.rate * policy.cover_seconds + static_cast<double>(usage.largest);
-    return std::max(
-        {static_cast<token_count>(wanted), usage.missing, policy.floor});
-}
-
 /** Sums over an account's shares. */
 struct account_sums
 {
@@ -125,6 +117,18 @@
     return sums;
 }
 
+/** @param rest Of the budget. Where it holds few requests for each VM, little
+ *         is wanted ahead of them, so that it is there for whoever asks. */
+token_count wanted_by(const wallet_usage& usage, const ledger_policy& policy,
+                      token_count rest, std::size_t vms)
+{
+    const auto each = rest / static_cast<token_count>(vms);
+    const auto ahead = std::min(usage.largest, each / 3);
+    const auto wanted = static_cast<token_count>(
+        usage.rate * policy.cover_seconds + static_cast<double>(ahead));
+    return std::max({wanted, usage.missing, std::min(policy.floor, each / 20)});
+}
+
 std::size_t vms_in(const ledger& value)
 {
     std::set<vm_id> vms;
@@ -141,9 +145,11 @@
     auto& own = account.shares[wish.self];
     own.spent = usage.spent;
     own.held = usage.reserved;
-    own.wanted = wanted_by(usage, policy);
-    const auto sums = sum_up(account, wish.self);
+    own.wanted = 0;
+    auto sums = sum_up(account, wish.self);
     const auto rest = std::max<token_count>(0, prepaid - sums.spent);
+    own.wanted = wanted_by(usage, policy, rest, vms);
+    sums.wanted += own.wanted;
     auto part = static_cast<double>(own.wanted) /
                 static_cast<double>(std::max<token_count>(1, sums.wanted));
     // Before demand is known, the others' is not known either.
--- a/packages/ledger/ledger_json_func.cpp
+++ b/packages/ledger/ledger_json_func.cpp
@@ -36,6 +36,8 @@
 ROSEMARYDECK_JSON(ledger_member, vm, address, beat, turn, first_turn, wall_ms,
                   boot_ms, boot, marks, closed)
 
+ROSEMARYDECK_JSON(ledger_layout, cells)
+
 void to_json(nlohmann::json& json, const ledger_account& value)
 {
     json = {{"closed", value.closed}, {"shares", object_of(value.shares)}};
--- a/packages/ledger/ledger_type.hpp
+++ b/packages/ledger/ledger_type.hpp
@@ -75,6 +75,18 @@
     bool operator==(const ledger_crash&) const = default;
 };
 
+/**
+ * How VMs are divided into cells, each with a ledger and an equal part of
+ * every budget. Written once by the first VM and never changed, since VMs that
+ * disagreed on it would grant a budget twice.
+ */
+struct ledger_layout
+{
+    std::uint32_t cells = 1;
+
+    bool operator==(const ledger_layout&) const = default;
+};
+
 /**
  * The shared object in the platform's store. Only conditional writes change
  * it, so for each customer the granted amounts and closed charges never add up
@@ -95,6 +107,7 @@
 ROSEMARYDECK_JSON_DECLARE(ledger_crash);
 ROSEMARYDECK_JSON_DECLARE(ledger_mark);
 ROSEMARYDECK_JSON_DECLARE(ledger_member);
+ROSEMARYDECK_JSON_DECLARE(ledger_layout);
 ROSEMARYDECK_JSON_DECLARE(ledger);
 
 } // namespace rosemarydeck
--- a/packages/ledger/test/ledger_test.cpp
+++ b/packages/ledger/test/ledger_test.cpp
@@ -1,5 +1,6 @@
 /** @file ledger_test.cpp Shares, wallets and the closing of ended runs. */
 #include "ledger/ledger_keeper_base.hpp"
+#include "ledger/ledger_layout_func.hpp"
 #include "ledger/share_limit_func.hpp"
 
 #include <catch2/catch.hpp>
@@ -303,6 +304,22 @@
     CHECK(next.crashes.at(bad).engines.size() == 1);
 }
 
+TEST_CASE("Cells divide VMs and budgets", "[layout]")
+{
+    CHECK(layout_for(400).cells == 1);
+    CHECK(layout_for(1'200).cells == 7);
+    CHECK(layout_for(0).cells == 1);
+    const ledger_layout layout{7};
+    token_count sum = 0;
+    std::set<std::uint32_t> used;
+    for (std::uint32_t cell = 0; cell < layout.cells; ++cell)
+        sum += cell_part(layout, cell, 1'000'003);
+    CHECK(sum == 1'000'003);
+    for (int vm = 0; vm < 85; ++vm)
+        used.insert(cell_of(layout, vm_id("edge-" + std::to_string(vm))));
+    CHECK(used.size() == 7);
+}
+
 TEST_CASE("A ledger survives its JSON form", "[json]")
 {
     lone_vm vm(options_of("a"));
--- a/tests/daemons/gateway_test.py
+++ b/tests/daemons/gateway_test.py
@@ -304,7 +304,7 @@
     # --- budgets ---------------------------------------------------------
 
     def ledger(self):
-        found = self.store.objects.get(("rosemarydeck-ledgers", "main"))
+        found = self.store.objects.get(("rosemarydeck-ledgers", "cell-0"))
         return found["spec"]["accounts"].get("acme") if found else None
 
     def spent(self):
