Hold a request ahead on each VM only where its part covers one; explain requests

Change: where a VM's equal part of what is left covers a usual request it holds one ahead, elsewhere none.

--- a/packages/client/client_cmd.cpp
+++ b/packages/client/client_cmd.cpp
@@ -196,7 +196,10 @@
         client_command{"timeline", "",
                        "one line of events over all VMs; see --customer, "
                        "--request, --kind",
-                       run_timeline}};
+                       run_timeline},
+        client_command{"explain", "REQUEST FILE...",
+                       "why a request ended as it did, from VMs' log files",
+                       run_explain}};
     return commands;
 }
 
--- a/packages/client/client_cmd.hpp
+++ b/packages/client/client_cmd.hpp
@@ -45,6 +45,9 @@
 /** Prints the merged time line. */
 client_exit run_timeline(const client_options&, const command_words&);
 
+/** Tells a request's story from VMs' log files. */
+client_exit run_explain(const client_options&, const command_words&);
+
 /** Prints an error and what to do about it. @return The exit code. */
 client_exit report(const error& fault);
 
--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -258,12 +258,15 @@
             spent += share.spent;
         }
     }
-    log_.write("budgets_renewed", {{"turn", write.next.turn},
-                                   {"runs", write.next.members.size()},
-                                   {"prepaid", total},
-                                   {"closed", closed},
-                                   {"granted", granted},
-                                   {"spent", spent}});
+    log_.write("budgets_renewed",
+               {{"cell", cell_},
+                {"turn", write.next.turn},
+                {"runs", write.next.members.size()},
+                {"prepaid", total},
+                {"closed", closed},
+                {"granted", granted},
+                {"spent", spent},
+                {"short", keeper_.short_customers().size()}});
 }
 
 void control_service::note_rests()
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -54,7 +54,7 @@
                           {{"req", head_.id},
                            {"engine", place.engine.id.value()},
                            {"address", place.engine.endpoint()},
-                           {"outcome", static_cast<int>(result.outcome)},
+                           {"outcome", name_of(result.outcome)},
                            {"engine_status", result.failure_status},
                            {"client_gone", client_.closed() ? 1 : 0},
                            {"timed_out", timed_out_ ? 1 : 0},
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -117,16 +117,24 @@
     return sums;
 }
 
-/** @param rest Of the budget. Where it holds few requests for each VM, little
- *         is wanted ahead of them, so that it is there for whoever asks. */
+/** @return True if each VM's equal part of a rest holds a request. Where it
+ *  does not, nothing is held ahead of requests, so that the rest is there for
+ *  whoever asks. */
+bool holds_requests(token_count each, const ledger_policy& policy)
+{
+    return each * 5 >= policy.request * 6;
+}
+
 token_count wanted_by(const wallet_usage& usage, const ledger_policy& policy,
-                      token_count rest, std::size_t vms)
+                      token_count each)
 {
-    const auto each = rest / static_cast<token_count>(vms);
-    const auto ahead = std::min(usage.largest, each / 3);
+    const auto ahead =
+        holds_requests(each, policy)
+            ? std::min(std::max(usage.largest, policy.request), each * 4 / 5)
+            : 0;
     const auto wanted = static_cast<token_count>(
         usage.rate * policy.cover_seconds + static_cast<double>(ahead));
-    return std::max({wanted, usage.missing, std::min(policy.floor, each / 20)});
+    return std::max(wanted, usage.missing);
 }
 
 std::size_t vms_in(const ledger& value)
@@ -148,7 +156,8 @@
     own.wanted = 0;
     auto sums = sum_up(account, wish.self);
     const auto rest = std::max<token_count>(0, prepaid - sums.spent);
-    own.wanted = wanted_by(usage, policy, rest, vms);
+    const auto each = rest / static_cast<token_count>(vms);
+    own.wanted = wanted_by(usage, policy, each);
     sums.wanted += own.wanted;
     auto part = static_cast<double>(own.wanted) /
                 static_cast<double>(std::max<token_count>(1, sums.wanted));
@@ -157,7 +166,9 @@
         part = std::min(part, 1.0 / static_cast<double>(vms));
     const auto spread = policy.spread_share * part * static_cast<double>(rest);
     const auto unknown =
-        std::max(0.0, 1.0 - usage.history / policy.history_seconds);
+        holds_requests(each, policy)
+            ? std::max(0.0, 1.0 - usage.history / policy.history_seconds)
+            : 0.0;
     const auto headroom = static_cast<token_count>(std::min(
         spread, std::max(policy.spread_limit * static_cast<double>(own.wanted),
                          unknown * spread)));
@@ -170,7 +181,7 @@
                  static_cast<token_count>(usage.rate * policy.open_seconds +
                                           static_cast<double>(usage.largest) *
                                               policy.open_largest));
-    own.open = std::max(own.open, policy.floor);
+    own.open = std::max(own.open, policy.request);
     own.slope = static_cast<token_count>(usage.rate * policy.slope_factor) + 1;
     // An unknown rate may turn out to be a good part of the headroom.
     const auto guess = unknown * static_cast<double>(headroom);
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -21,11 +21,11 @@
     /** Until a customer's traffic has been seen so long, the bound gives way:
      *  its rate is not known. */
     double history_seconds = 8;
-    double open_seconds = 2;    ///< Spending that is open at once.
-    double open_largest = 1.0;  ///< Largest requests open besides.
-    double slope_factor = 1.5;  ///< Opening against the rate.
-    double spread_share = 0.85; ///< Of what is left, divided by demand.
-    token_count floor = 6'000;  ///< Wanted without any traffic, a request.
+    double open_seconds = 2;     ///< Spending that is open at once.
+    double open_largest = 1.0;   ///< Largest requests open besides.
+    double slope_factor = 1.5;   ///< Opening against the rate.
+    double spread_share = 0.85;  ///< Of what is left, divided by demand.
+    token_count request = 9'000; ///< A usual one, where none has been seen.
 };
 
 /** One write of this run's that the ledger has taken. */
--- a/packages/router/placement_base.cpp
+++ b/packages/router/placement_base.cpp
@@ -8,6 +8,25 @@
 namespace rosemarydeck
 {
 
+const char* name_of(send_outcome outcome)
+{
+    switch (outcome) {
+    case send_outcome::served:
+        return "answered";
+    case send_outcome::refused:
+        return "refused";
+    case send_outcome::wrong_place:
+        return "wrong_instance";
+    case send_outcome::unreachable:
+        return "unreachable";
+    case send_outcome::broken:
+        return "broken";
+    case send_outcome::abandoned:
+        return "abandoned";
+    }
+    return "unknown";
+}
+
 placement_book::placement_book(placement_options options) : options_(options) {}
 
 token_count placement_book::work_of(const placement_request& request) const
--- a/packages/router/placement_base.hpp
+++ b/packages/router/placement_base.hpp
@@ -54,6 +54,9 @@
     abandoned,   ///< Ended from this side.
 };
 
+/** @return The outcome's name in logs. */
+const char* name_of(send_outcome outcome);
+
 /**
  * Places requests by prefix home and load, from what this VM has sent. All
  * VMs agree on a prefix's home by rendezvous hashing without exchanging a
