Leave a data centre alone as a whole while it is cut off

Change: two unreachable engines of a data centre set all of it aside, one request a second tries it, one answer clears it; connecting takes 0.3 s at most.

--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -17,7 +17,7 @@
 namespace http = boost::beast::http;
 
 /** Engines accept within a round trip; more means that one is cut off. */
-constexpr auto connect_timeout = milliseconds(700);
+constexpr auto connect_timeout = milliseconds(300);
 /** Engines that state no time-out close idle connections after a second. */
 constexpr auto default_idle_limit = milliseconds(500);
 /** Part of the stated time after which a connection isn't reused. */
--- a/packages/router/placement_base.cpp
+++ b/packages/router/placement_base.cpp
@@ -58,7 +58,8 @@
             continue;
         const auto* known = find(engine.id);
         any.push_back(&engine);
-        if (known == nullptr || known->retry_at <= now)
+        if ((known == nullptr || known->retry_at <= now) &&
+            !cut_off(engine.data_centre, now))
             sound.push_back(&engine);
     }
     return sound.empty() ? any : sound;
@@ -124,6 +125,7 @@
     }
     auto& counted = records_[pick->id];
     ++counted.open;
+    counted.data_centre = pick->data_centre;
     counted.work += work_of(request);
     chosen.engine = *pick;
     if (chosen.fetch_from && chosen.fetch_from->id == pick->id)
@@ -138,6 +140,7 @@
     auto& known = records_[engine];
     known.open -= known.open > 0 ? 1 : 0;
     known.work = std::max<token_count>(0, known.work - work_of(request));
+    note_reach(known.data_centre, engine, outcome, now);
     switch (outcome) {
     case send_outcome::served:
         known.failures = 0;
@@ -161,6 +164,28 @@
     }
 }
 
+bool placement_book::cut_off(const dc_id& centre, time_point now) const
+{
+    const auto found = reach_.find(centre);
+    return found != reach_.end() &&
+           found->second.unreachable.size() >= options_.cut_off_engines &&
+           now < found->second.last + options_.cut_off_span;
+}
+
+void placement_book::note_reach(const dc_id& centre, const server_id& engine,
+                                send_outcome outcome, time_point now)
+{
+    auto& known = reach_[centre];
+    if (outcome == send_outcome::unreachable) {
+        known.unreachable.insert(engine);
+        known.last = now;
+    }
+    else if (outcome == send_outcome::served ||
+             outcome == send_outcome::refused) {
+        known.unreachable.clear();
+    }
+}
+
 void placement_book::keep_only(const fleet_view& view)
 {
     std::set<server_id> listed;
--- a/packages/router/placement_base.hpp
+++ b/packages/router/placement_base.hpp
@@ -24,6 +24,10 @@
     token_count output_token_weight = 8;
     duration first_backoff = milliseconds(250);
     duration longest_backoff = milliseconds(4'000);
+    /** Unreachable engines after which their data centre counts as cut off. */
+    std::size_t cut_off_engines = 2;
+    /** One request in such a time tries a data centre that is cut off. */
+    duration cut_off_span = milliseconds(1'000);
 };
 
 /** What a request needs of an engine. */
@@ -90,8 +94,19 @@
         token_count work = 0;
         std::uint32_t failures = 0; ///< In a row.
         time_point retry_at{};
+        dc_id data_centre;
     };
 
+    /** Engines of one data centre that could not be reached of late. */
+    struct reach
+    {
+        std::set<server_id> unreachable;
+        time_point last{};
+    };
+
+    [[nodiscard]] bool cut_off(const dc_id& centre, time_point now) const;
+    void note_reach(const dc_id& centre, const server_id& engine,
+                    send_outcome outcome, time_point now);
     [[nodiscard]] token_count work_of(const placement_request& request) const;
     [[nodiscard]] std::vector<const engine_info*>
     candidates(std::span<const engine_info> engines,
@@ -103,6 +118,7 @@
 
     placement_options options_;
     std::map<server_id, record> records_;
+    std::map<dc_id, reach> reach_;
     std::uint64_t turn_ = 0;
 };
 
--- a/packages/router/test/router_test.cpp
+++ b/packages/router/test/router_test.cpp
@@ -203,6 +203,29 @@
     CHECK_FALSE(used(at(790ms)));
 }
 
+TEST_CASE("A data centre that is cut off is left alone as a whole",
+          "[placement]")
+{
+    auto all = engines(8);
+    for (std::size_t number = 0; number < all.size(); ++number)
+        all[number].data_centre = dc_id(number < 4 ? "near" : "far");
+    placement_book book;
+    const placement_request wish{models, "", 0, 0, 0};
+    // Two engines of the far one can't be reached.
+    for (const std::size_t number : {4U, 5U}) {
+        book.place(wish, std::span(all).subspan(number, 1), {}, at(0ms));
+        book.release(all[number].id, wish, send_outcome::unreachable, at(0ms));
+    }
+    for (int number = 0; number < 16; ++number)
+        CHECK(book.place(wish, all, {}, at(500ms))->engine.data_centre ==
+              dc_id("near"));
+    // It is tried again, and one answer clears it.
+    book.place(wish, std::span(all).subspan(6, 1), {}, at(1'200ms));
+    book.release(all[6].id, wish, send_outcome::served, at(1'200ms));
+    CHECK(book.place(wish, all, {}, at(1'201ms))->engine.data_centre ==
+          dc_id("far"));
+}
+
 TEST_CASE("The last engine is used even after a failure", "[placement]")
 {
     const auto all = engines(1);
