Read settings again when they change; open ports in one place

The settings file is read again on SIGHUP and when it changes without a signal; a faulty one is logged with its lines and changes nothing. Tested with the daemon.

--- a/packages/gateway/event_log_base.cpp
+++ b/packages/gateway/event_log_base.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr std::size_t max_buffered_bytes = 256 * 1'024;
+constexpr std::size_t max_buffered_bytes = 262'144;
 /** Lines per second of one event name; 200 bytes each make 60 KB/s. */
 constexpr std::uint32_t max_lines_per_second = 300;
 
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -61,6 +61,7 @@
     bool may_send_again();
     bool send_once(const placement& place);
     void look_for_crash(const placement& place);
+    void log_failure(const placement& place, const send_result& result) const;
     send_result send(const placement& place);
     send_result talk(const placement& place);
     std::string encode(const placement& place) const;
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -50,16 +50,7 @@
                            own_end ? send_outcome::abandoned : result.outcome,
                            now);
     if (!result.answered)
-        shared_.log.write("send_failed",
-                          {{"req", head_.id},
-                           {"engine", place.engine.id.value()},
-                           {"address", place.engine.endpoint()},
-                           {"outcome", name_of(result.outcome)},
-                           {"engine_status", result.failure_status},
-                           {"client_gone", client_.closed() ? 1 : 0},
-                           {"timed_out", timed_out_ ? 1 : 0},
-                           {"events", last_event_ - first_event_},
-                           {"ms", age()}});
+        log_failure(place, result);
     if (result.answered) {
         answered_ = true;
         if (!view_->suspected.empty() &&
@@ -86,6 +77,20 @@
     }
 }
 
+void exchange::log_failure(const placement& place,
+                           const send_result& result) const
+{
+    shared_.log.write("send_failed", {{"req", head_.id},
+                                      {"engine", place.engine.id.value()},
+                                      {"address", place.engine.endpoint()},
+                                      {"outcome", name_of(result.outcome)},
+                                      {"engine_status", result.failure_status},
+                                      {"client_gone", client_.closed() ? 1 : 0},
+                                      {"timed_out", timed_out_ ? 1 : 0},
+                                      {"events", last_event_ - first_event_},
+                                      {"ms", age()}});
+}
+
 void exchange::look_for_crash(const placement& place)
 {
     // An engine that still takes connections has not gone down.
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -1,6 +1,7 @@
 /** @file gateway_base.cpp One VM's router process on the users' platform. */
 #include "gateway/gateway_base.hpp"
 
+#include "gateway/listener_func.hpp"
 #include "platform/platform_header_func.hpp"
 #include "platform/platform_settings_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
@@ -11,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/fiber/all.hpp>
+#include <filesystem>
 
 namespace rosemarydeck
 {
@@ -27,6 +29,7 @@
 /** Kept of the grace time for returning budgets and ending. */
 constexpr auto end_margin = milliseconds(700);
 constexpr auto drain_check = milliseconds(50);
+constexpr auto settings_check = milliseconds(2'000);
 constexpr auto check_idle_limit = std::chrono::seconds(10);
 
 } // namespace
@@ -62,6 +65,9 @@
         return exit_no_port;
     }
     control_->start();
+    boost::fibers::fiber(boost::fibers::launch::post, [this] {
+        watch_settings();
+    }).detach();
     await_signal();
     return ended_.take();
 }
@@ -106,25 +112,12 @@
 expected<std::uint16_t> gateway::open(boost::asio::ip::tcp::acceptor& acceptor,
                                       const endpoint& at)
 {
-    using boost::asio::ip::tcp;
-    boost::system::error_code fault;
-    const auto address = boost::asio::ip::make_address(at.address, fault);
-    if (!fault)
-        acceptor.open(tcp::v4(), fault);
-    if (!fault)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), fault);
-    if (!fault)
-        acceptor.bind({address, at.port}, fault);
-    if (!fault)
-        acceptor.listen(boost::asio::socket_base::max_listen_connections,
-                        fault);
-    if (fault)
-        return tl::unexpected(error{error_code::unavailable, "open port",
-                                    at.text(), fault.message()});
-    boost::fibers::fiber(boost::fibers::launch::post, [this, &acceptor] {
-        answer_checks(acceptor);
-    }).detach();
-    return acceptor.local_endpoint().port();
+    auto port = listen_on(acceptor, at);
+    if (port)
+        boost::fibers::fiber(boost::fibers::launch::post, [this, &acceptor] {
+            answer_checks(acceptor);
+        }).detach();
+    return port;
 }
 
 void gateway::answer_checks(boost::asio::ip::tcp::acceptor& acceptor)
@@ -191,7 +184,7 @@
         if (fault)
             return;
         if (signal == SIGHUP)
-            log_.write("reload", {{"signal", signal}});
+            reload("signal");
         else if (!std::exchange(draining_, true))
             boost::fibers::fiber(boost::fibers::launch::post, [this] {
                 drain();
@@ -200,6 +193,38 @@
     });
 }
 
+void gateway::reload(const char* cause)
+{
+    const auto read = platform::read_settings(settings_path_);
+    if (!read) {
+        for (const auto& fault : read.error())
+            log_.write("settings_unreadable",
+                       {{"line", fault.line}, {"why", fault.text}});
+        return;
+    }
+    auto changed = *read;
+    changed.metrics_port = settings_.metrics_port;
+    log_.write("reload",
+               {{"cause", cause}, {"changed", changed == settings_ ? 0 : 1}});
+    // Addresses and names hold until the process starts again.
+    settings_.retries = changed.retries;
+    settings_.drain_grace = changed.drain_grace;
+    traffic_->configure(settings_);
+}
+
+void gateway::watch_settings()
+{
+    namespace fs = std::filesystem;
+    std::error_code fault;
+    auto known = fs::last_write_time(settings_path_, fault);
+    while (true) {
+        fiber_sleep(io_, settings_check);
+        const auto now = fs::last_write_time(settings_path_, fault);
+        if (!fault && std::exchange(known, now) != now)
+            reload("file");
+    }
+}
+
 void gateway::drain()
 {
     const auto begun = clock_.now();
--- a/packages/gateway/gateway_base.hpp
+++ b/packages/gateway/gateway_base.hpp
@@ -29,6 +29,8 @@
     void answer_check(boost::asio::ip::tcp::socket socket);
     std::string check_reply(const std::string& target) const;
     void await_signal();
+    void reload(const char* cause);
+    void watch_settings();
     void drain();
 
     gateway_settings settings_;
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -1,6 +1,7 @@
 /** @file traffic_service_base.cpp The thread that carries clients' requests. */
 #include "gateway/traffic_service_base.hpp"
 
+#include "gateway/listener_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
 #include <boost/asio/post.hpp>
@@ -12,7 +13,7 @@
 namespace
 {
 
-constexpr std::size_t fiber_stack_bytes = 64 * 1'024;
+constexpr std::size_t fiber_stack_bytes = 65'536;
 constexpr auto tidy_every = milliseconds(1'000);
 constexpr auto accept_backoff = milliseconds(50);
 
@@ -34,23 +35,9 @@
 
 expected<std::uint16_t> traffic_service::start()
 {
-    using boost::asio::ip::tcp;
-    const auto& at = shared_.settings.callers;
-    boost::system::error_code fault;
-    const auto address = boost::asio::ip::make_address(at.address, fault);
-    if (!fault)
-        acceptor_.open(tcp::v4(), fault);
-    if (!fault)
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), fault);
-    if (!fault)
-        acceptor_.bind({address, at.port}, fault);
-    if (!fault)
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections,
-                         fault);
-    if (fault)
-        return tl::unexpected(error{error_code::unavailable, "open client port",
-                                    at.text(), fault.message()});
-    const auto port = acceptor_.local_endpoint().port();
+    auto port = listen_on(acceptor_, shared_.settings.callers);
+    if (!port)
+        return port;
     thread_ = std::thread([this] { run(); });
     thread_.detach(); // Ends with the process.
     return port;
@@ -106,6 +93,14 @@
     });
 }
 
+void traffic_service::configure(const gateway_settings& settings)
+{
+    boost::asio::post(io_, [this, settings] {
+        shared_.settings = settings;
+        shared_.retries.configure(settings.retries);
+    });
+}
+
 void traffic_service::begin_drain()
 {
     boost::asio::post(io_, [this] { shared_.draining = true; });
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -23,6 +23,8 @@
     expected<std::uint16_t> start();
     /** Takes over what control knows; callable from any thread. */
     void publish(std::shared_ptr<const fleet_view> view);
+    /** Takes over changed settings; callable from any thread. */
+    void configure(const gateway_settings& settings);
     /** Answers from now on close their connections. */
     void begin_drain();
     /** Closes the port and connections without a request. */
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -47,6 +47,7 @@
             ended[run] = silence;
     }
     std::vector<run_closing> closings;
+    closings.reserve(ended.size());
     for (const auto& [run, silence] : ended)
         closings.push_back(fold(value, run, silence));
     for (const auto& run : wish.silent)
--- a/packages/ledger/ledger_silence.cpp
+++ b/packages/ledger/ledger_silence.cpp
@@ -91,6 +91,7 @@
     if (spans.size() < least_witnesses || spans.size() * 2 <= all.size())
         return std::nullopt;
     std::vector<std::int64_t> sorted;
+    sorted.reserve(spans.size());
     for (const auto& [vm, span] : spans)
         sorted.push_back(span);
     std::sort(sorted.begin(), sorted.end());
--- a/packages/router/retry_budget_base.hpp
+++ b/packages/router/retry_budget_base.hpp
@@ -27,6 +27,8 @@
 public:
     explicit retry_budget(retry_budget_options options = {});
 
+    /** Takes over changed bounds. */
+    void configure(const retry_budget_options& options) { options_ = options; }
     /** Notes a client's request for a service. */
     void on_request(const service_id& service, time_point now);
     /** Takes one repeat from the budget.
--- a/tests/daemons/gateway_test.py
+++ b/tests/daemons/gateway_test.py
@@ -395,6 +395,24 @@
         self.assertEqual(self.ledger()["shares"], {})
         self.assertEqual(self.ledger()["closed"], 106)
 
+    def test_changed_settings_are_read_again_and_bad_ones_refused(self):
+        self.serve(self.two_events)
+        path = pathlib.Path(self.folder) / "settings.toml"
+        good = path.read_text()
+        self.process.send_signal(signal.SIGHUP)
+        fleet.wait_until(
+            lambda: self.logged("event=reload cause=signal changed=0"), 20,
+            "the signal is followed")
+        path.write_text("node_name = 3\n")
+        fleet.wait_until(
+            lambda: self.logged("event=settings_unreadable line=1"), 20,
+            "the change is seen without a signal")
+        path.write_text(good.replace("extra_retries = 56",
+                                     "extra_retries = 9"))
+        fleet.wait_until(lambda: self.logged("cause=file changed=1"), 20,
+                         "the good change is seen")
+        self.assertEqual(Client(self.port).chat().status, 200)
+
     def test_metrics_and_bad_settings_are_explained(self):
         self.serve(self.two_events)
         Client(self.port).chat().read()
