Let cells give each other what is free; shares without names in the ledger

Change: a VM that lacks headroom asks another cell, which gives half of what is free; gifts are counts that only grow on both sides. Shares are written as lists, and none for customers without traffic where cells can give. Tests: gifts, and an older configuration that is never taken again. A stand-in engine that 'closed' its port kept it open while a thread waited in accept (one failure of test_a_request_that_crashes_engines_is_stopped beside load); it shuts it down.

--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -107,7 +107,8 @@
         return false;
     }
     cell_ = cell_of(*layout_, options_.settings.vm);
-    ledger_name_ = "cell-" + std::to_string(cell_);
+    ledger_name_ = name_of_cell(cell_).value();
+    keeper_.hold_unseen(layout_->cells == 1);
     log_.write("ledger_layout", {{"cells", layout_->cells}, {"cell", cell_}});
     return true;
 }
@@ -129,6 +130,7 @@
                 purse_.note_short(customer, clock_.now() + short_span);
             if (live_before != keeper_.live_vms())
                 publish();
+            ask_other_cells();
             return;
         }
         if (!keeper_.fresh())
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -61,6 +61,8 @@
     void keep_budgets();
     void renew_budgets();
     bool know_layout();
+    void ask_other_cells();
+    bool ask_cell(std::uint32_t donor, const customer_id& customer);
     bool read_ledger(bool stale);
     bool write_ledger(const ledger_write& write);
     [[nodiscard]] std::map<customer_id, token_count> prepaid() const;
@@ -84,6 +86,8 @@
     std::optional<ledger_layout> layout_;
     std::uint32_t cell_ = 0;
     std::string ledger_name_;
+    std::uint32_t next_donor_ = 0;
+    time_point last_gift_{};
     crash_record crashes_;
     std::set<request_fingerprint> suspected_;
     std::set<request_fingerprint> blocked_;
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -98,6 +98,16 @@
                              }));
 }
 
+/** @return A cell's part of a budget after what it gave and was given. */
+token_count pool_of(const ledger_account& account, token_count prepaid)
+{
+    for (const auto& [cell, tokens] : account.received)
+        prepaid += tokens;
+    for (const auto& [cell, tokens] : account.given)
+        prepaid -= tokens;
+    return prepaid;
+}
+
 /** Sums over an account's shares. */
 struct account_sums
 {
@@ -147,10 +157,13 @@
 }
 
 void renew_share(ledger_account& account, const ledger_renewal& wish,
-                 const wallet_usage& usage, token_count prepaid,
+                 const wallet_usage& usage, token_count part_prepaid,
                  std::size_t vms)
 {
     const auto& policy = wish.policy;
+    const auto prepaid = pool_of(account, part_prepaid);
+    const bool unseen =
+        !policy.hold_unseen && usage.largest == 0 && usage.spent == 0;
     auto& own = account.shares[wish.self];
     own.spent = usage.spent;
     own.held = usage.reserved;
@@ -158,7 +171,7 @@
     auto sums = sum_up(account, wish.self);
     const auto rest = std::max<token_count>(0, prepaid - sums.spent);
     const auto each = rest / static_cast<token_count>(vms);
-    own.wanted = wanted_by(usage, policy, each);
+    own.wanted = unseen ? 0 : wanted_by(usage, policy, each);
     sums.wanted += own.wanted;
     auto part = static_cast<double>(own.wanted) /
                 static_cast<double>(std::max<token_count>(1, sums.wanted));
@@ -167,7 +180,7 @@
         part = std::min(part, 1.0 / static_cast<double>(vms));
     const auto spread = policy.spread_share * part * static_cast<double>(rest);
     const auto unknown =
-        holds_requests(each, policy)
+        holds_requests(each, policy) && !unseen
             ? std::max(0.0, 1.0 - usage.history / policy.history_seconds)
             : 0.0;
     const auto headroom = static_cast<token_count>(std::min(
@@ -188,6 +201,8 @@
     const auto guess = unknown * static_cast<double>(headroom);
     own.open = std::max(own.open, static_cast<token_count>(guess / 12));
     own.slope = std::max(own.slope, static_cast<token_count>(guess / 10));
+    if (unseen && own.granted == 0)
+        account.shares.erase(wish.self);
 }
 
 } // namespace
@@ -208,6 +223,30 @@
     return result;
 }
 
+void receive(ledger& value, const cell_gifts& gifts)
+{
+    for (const auto& [customer, cells] : gifts)
+        for (const auto& [cell, tokens] : cells) {
+            auto& taken = value.accounts[customer].received[cell];
+            taken = std::max(taken, tokens);
+        }
+}
+
+std::optional<ledger> give(const ledger& now, const customer_id& customer,
+                           const cell_id& to, token_count prepaid,
+                           token_count least)
+{
+    auto next = now;
+    auto& account = next.accounts[customer];
+    const auto free = pool_of(account, prepaid) - account.closed -
+                      sum_up(account, {}).others_granted;
+    if (free < least)
+        return std::nullopt;
+    ++next.turn;
+    account.given[to] += std::max(least, free / 2);
+    return next;
+}
+
 ledger close_run(const ledger& now, const instance_id& self,
                  const std::map<customer_id, token_count>& spent)
 {
@@ -232,7 +271,7 @@
     const auto found = now.accounts.find(customer);
     if (found == now.accounts.end())
         return prepaid;
-    return prepaid - sum_up(found->second, {}).spent;
+    return pool_of(found->second, prepaid) - sum_up(found->second, {}).spent;
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_json_func.cpp
+++ b/packages/ledger/ledger_json_func.cpp
@@ -31,7 +31,23 @@
 
 } // namespace
 
-ROSEMARYDECK_JSON(ledger_share, granted, spent, held, open, slope, wanted)
+// The ledger holds a share for each customer and VM, so these have no names.
+void to_json(nlohmann::json& json, const ledger_share& value)
+{
+    json = {value.granted, value.spent, value.held,
+            value.open,    value.slope, value.wanted};
+}
+
+void from_json(const nlohmann::json& json, ledger_share& value)
+{
+    json.at(0).get_to(value.granted);
+    json.at(1).get_to(value.spent);
+    json.at(2).get_to(value.held);
+    json.at(3).get_to(value.open);
+    json.at(4).get_to(value.slope);
+    json.at(5).get_to(value.wanted);
+}
+
 ROSEMARYDECK_JSON(ledger_mark, turn, wall_ms)
 ROSEMARYDECK_JSON(ledger_member, vm, address, beat, turn, first_turn, wall_ms,
                   boot_ms, boot, marks, closed)
@@ -41,12 +57,20 @@
 void to_json(nlohmann::json& json, const ledger_account& value)
 {
     json = {{"closed", value.closed}, {"shares", object_of(value.shares)}};
+    if (!value.given.empty())
+        json["given"] = object_of(value.given);
+    if (!value.received.empty())
+        json["received"] = object_of(value.received);
 }
 
 void from_json(const nlohmann::json& json, ledger_account& value)
 {
     json.at("closed").get_to(value.closed);
     read_object(json.at("shares"), value.shares);
+    if (json.contains("given"))
+        read_object(json.at("given"), value.given);
+    if (json.contains("received"))
+        read_object(json.at("received"), value.received);
 }
 
 void to_json(nlohmann::json& json, const ledger_crash& value)
--- a/packages/ledger/ledger_keeper_base.cpp
+++ b/packages/ledger/ledger_keeper_base.cpp
@@ -57,10 +57,16 @@
         if (clock.now - seen.seen > options_.silent_after)
             wish.silent.insert(run);
     short_.clear();
-    auto renewed = renew(current_, wish);
+    auto before = current_;
+    receive(before, gifts_);
+    auto renewed = renew(before, wish);
     auto& next = renewed.next;
     for (const auto& [customer, total] : prepaid) {
-        auto& share = next.accounts[customer].shares[options_.self];
+        auto& shares = next.accounts[customer].shares;
+        const auto own = shares.find(options_.self);
+        if (own == shares.end())
+            continue; // Without traffic here nothing is granted.
+        auto& share = own->second;
         wallet_terms terms{share, clock.now, offset(customer)};
         purse_.propose(customer, terms);
         share = terms.share;
--- a/packages/ledger/ledger_keeper_base.hpp
+++ b/packages/ledger/ledger_keeper_base.hpp
@@ -53,6 +53,15 @@
     {
         crashes_ = std::move(seen);
     }
+    /** Takes in, with the next write, what other cells have given. */
+    void receive_later(const customer_id& customer, const cell_id& from,
+                       token_count given)
+    {
+        auto& known = gifts_[customer][from];
+        known = std::max(known, given);
+    }
+    /** Whether customers without traffic here hold headroom. */
+    void hold_unseen(bool hold) { options_.policy.hold_unseen = hold; }
     /** @return The write that ends this run. No request may be in flight. */
     ledger_write prepare_close(const clock_reading& clock);
     /** The prepared write was done. @param revision The ledger's new one. */
@@ -114,6 +123,7 @@
     /** Spending of this run that others have closed. */
     std::map<customer_id, token_count> offsets_;
     std::vector<customer_id> short_;
+    cell_gifts gifts_;
     std::map<request_fingerprint, std::set<server_id>> crashes_;
     bool joined_ = false;
     bool fresh_ = false;
--- a/packages/ledger/ledger_layout_func.cpp
+++ b/packages/ledger/ledger_layout_func.cpp
@@ -32,6 +32,11 @@
                                       std::max<std::uint32_t>(1, layout.cells));
 }
 
+cell_id name_of_cell(std::uint32_t cell)
+{
+    return cell_id("cell-" + std::to_string(cell));
+}
+
 token_count cell_part(const ledger_layout& layout, std::uint32_t cell,
                       token_count prepaid)
 {
--- a/packages/ledger/ledger_type.hpp
+++ b/packages/ledger/ledger_type.hpp
@@ -35,6 +35,11 @@
 {
     token_count closed = 0; ///< Charged by runs that are over.
     std::map<instance_id, ledger_share> shares;
+    /** All that other cells were ever given of this cell's part. */
+    std::map<cell_id, token_count> given;
+    /** Of what other cells have given, all that was ever taken in here. It
+     *  follows their given amounts, which never shrink. */
+    std::map<cell_id, token_count> received;
 
     bool operator==(const ledger_account&) const = default;
 };
--- a/packages/ledger/test/ledger_test.cpp
+++ b/packages/ledger/test/ledger_test.cpp
@@ -320,6 +320,35 @@
     CHECK(used.size() == 7);
 }
 
+TEST_CASE("Cells give each other what is free, once", "[layout]")
+{
+    const cell_id a("cell-0");
+    const cell_id b("cell-1");
+    lone_vm donor(options_of("a"));
+    donor.keeper.hold_unseen(false);
+    donor.renew(100'000, 0ms);
+    const auto given = give(donor.keeper.current(), acme, b, 100'000, 30'000);
+    REQUIRE(given);
+    const auto amount = given->accounts.at(acme).given.at(b);
+    CHECK(amount == 50'000);
+    CHECK_FALSE(give(*given, acme, b, 100'000, 60'000));
+    // The giver can't spend it any more; the taker can, and only once.
+    donor.keeper.refreshed(*given, 5, at(1ms).now);
+    REQUIRE_FALSE(donor.purse.reserve(acme, 70'000, at(1ms).now));
+    CHECK(share_of(donor.keeper.prepare({{acme, 100'000}}, at(2ms)).next, "a.1")
+              .granted <= 50'000);
+    lone_vm taker(options_of("b"));
+    taker.keeper.hold_unseen(false);
+    REQUIRE_FALSE(taker.purse.reserve(acme, 140'000, at(0ms).now));
+    taker.keeper.receive_later(acme, a, amount);
+    taker.keeper.receive_later(acme, a, amount);
+    taker.renew(100'000, 1ms);
+    taker.renew(100'000, 2ms);
+    CHECK(share_of(taker.keeper.current(), "b.1").granted <= 150'000);
+    CHECK(unspent(taker.keeper.current(), acme, 100'000) == 150'000);
+    CHECK(unspent(*given, acme, 100'000) == 50'000);
+}
+
 TEST_CASE("A ledger survives its JSON form", "[json]")
 {
     lone_vm vm(options_of("a"));
--- a/tests/daemons/gateway_test.py
+++ b/tests/daemons/gateway_test.py
@@ -183,6 +183,20 @@
         self.assertEqual(reply.status, 503)
         self.assertIsNotNone(reply.getheader("Retry-After"))
 
+    def test_an_older_configuration_is_never_taken_again(self):
+        self.serve(lambda run: run.answer(), service="plain")
+        newer = config(9)
+        newer["routes"] = [route for route in newer["routes"]
+                           if route["name"] != "look"]
+        self.store.put("config", "main", newer)
+        fleet.wait_until(lambda: self.logged("version=9 "), 20, "version 9")
+        self.assertEqual(Client(self.port).ask("GET", "/look/1").status, 404)
+        self.store.put("config", "main", config(5))
+        self.store.put("config", "main", {**newer, "version": 10})
+        fleet.wait_until(lambda: self.logged("version=10 "), 20, "version 10")
+        self.assertFalse(self.logged("version=5 "))
+        self.assertEqual(Client(self.port).ask("GET", "/look/1").status, 404)
+
     # --- one run, and truthful refusals ---------------------------------
 
     def test_an_order_whose_answer_is_lost_runs_once_and_gets_502(self):
@@ -309,7 +323,7 @@
 
     def spent(self):
         account = self.ledger()
-        return account["closed"] + sum(share["spent"] for share
+        return account["closed"] + sum(share[1] for share
                                        in account["shares"].values())
 
     @staticmethod
@@ -360,7 +374,7 @@
             if run.body == b"boom":
                 for engine in made:
                     if run in engine.runs:
-                        engine.listener.close()
+                        engine.stop()
                 return run.reset()
             run.answer()
         made += self.serve(*[crashes] * 6, service="plain")
--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -177,9 +177,18 @@
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
 
+    def stop(self):
+        """Takes no more connections. A close alone would leave the port open
+        while a thread waits in accept()."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def accept(self):
         while True:
-            connection, _ = self.listener.accept()
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return  # Stopped.
             threading.Thread(target=self.serve, args=(connection,),
                              daemon=True).start()
 
