Give up on a connection to the store after 0.6 s, whatever the call may take

Ruled out: kept connections that had gone silent, the wait between tries. Change: 0.6 s for the connection. The case 'A call waits for its answer, not as long for its connection' hung before.

--- a/packages/web/http_client_base.cpp
+++ b/packages/web/http_client_base.cpp
@@ -18,6 +18,8 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t max_idle = 8;
+/** A lost opening packet is sent again after seconds; a new try is sooner. */
+constexpr auto connect_limit = std::chrono::milliseconds(600);
 /** Long answers may be silent; only the peer's kernel has to be alive. */
 constexpr auto dead_peer_limit = std::chrono::seconds(2);
 constexpr std::size_t max_answer_bytes = 64 * 1'048'576;
@@ -89,7 +91,7 @@
 {
     auto connection = take_idle(peer);
     if (!connection) {
-        auto fresh = connect(peer, timeout);
+        auto fresh = connect(peer, std::min(timeout, connect_limit));
         if (!fresh)
             return tl::unexpected(http_failure{fresh.error(), false});
         connection = std::move(*fresh);
--- a/packages/web/test/web_test.cpp
+++ b/packages/web/test/web_test.cpp
@@ -3,6 +3,7 @@
 #include "web/chat_request_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
 #include "web/fiber_slot_base.hpp"
+#include "web/http_client_base.hpp"
 #include "web/reply_func.hpp"
 #include "web/sse_func.hpp"
 
@@ -12,6 +13,38 @@
 
 using namespace rosemarydeck;
 
+TEST_CASE("A call waits for its answer, not as long for its connection",
+          "[client]")
+{
+    // The opening packets of a full queue are dropped, as in a cut network.
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
+    std::optional<http_failure> failure;
+    asio::io_context io{1}; // Outlives the thread's scheduler.
+    std::thread([&] {
+        boost::fibers::use_scheduling_algorithm<fiber_scheduler>(io);
+        tcp::acceptor full(io, tcp::v4());
+        full.bind({asio::ip::address_v4::loopback(), 0});
+        full.listen(0);
+        std::vector<tcp::socket> waiting;
+        for (int count = 0; count < 8; ++count) {
+            auto& one = waiting.emplace_back(io);
+            one.open(tcp::v4());
+            one.non_blocking(true);
+            boost::system::error_code ignored;
+            one.connect(full.local_endpoint(), ignored);
+        }
+        http_client client(io);
+        const auto reply =
+            client.call({"127.0.0.1", full.local_endpoint().port()},
+                        http_request{}, std::chrono::hours(1));
+        if (!reply)
+            failure = reply.error();
+    }).join();
+    REQUIRE(failure);
+    CHECK_FALSE(failure->sent);
+}
+
 namespace
 {
 
