--- a/packages/web/http_client_base.cpp
+++ b/packages/web/http_client_base.cpp
@@ -18,7 +18,7 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t max_idle = 8;
-/** A lost opening packet is sent again after seconds; a new try is sooner. */
+/** Some hundred round trips within a region. */
 constexpr auto connect_limit = std::chrono::milliseconds(600);
 /** Long answers may be silent; only the peer's kernel has to be alive. */
 constexpr auto dead_peer_limit = std::chrono::seconds(2);
@@ -33,6 +33,11 @@
 
 } // namespace
 
+std::chrono::milliseconds connect_time(std::chrono::milliseconds whole)
+{
+    return std::min(whole, connect_limit);
+}
+
 http_client::http_client(boost::asio::io_context& context) : context_(context)
 {
 }
@@ -91,7 +96,7 @@
 {
     auto connection = take_idle(peer);
     if (!connection) {
-        auto fresh = connect(peer, std::min(timeout, connect_limit));
+        auto fresh = connect(peer, connect_time(timeout));
         if (!fresh)
             return tl::unexpected(http_failure{fresh.error(), false});
         connection = std::move(*fresh);
--- a/packages/web/http_client_base.hpp
+++ b/packages/web/http_client_base.hpp
@@ -48,6 +48,13 @@
     bool sent = false; ///< Bytes of the request may have arrived.
 };
 
+/**
+ * @param whole What a call may take in all.
+ * @return What opening its connection may take. A lost opening packet is sent
+ *         again after seconds, so a new try is sooner than waiting on.
+ */
+std::chrono::milliseconds connect_time(std::chrono::milliseconds whole);
+
 /** Calls HTTP servers from the fibers of one thread, over kept connections. */
 class http_client
 {
