--- a/packages/web/caller_session_base.cpp
+++ b/packages/web/caller_session_base.cpp
@@ -5,6 +5,7 @@
 #include "web/fiber_scheduler_base.hpp"
 #include "web/reply_func.hpp"
 
+#include <array>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
@@ -21,6 +22,8 @@
 
 /** Follows from one log to another at most this often. */
 constexpr int max_follows = 4;
+/** Longest that a refused caller may go on sending. */
+constexpr auto linger_limit = milliseconds(1'000);
 
 std::string chunk_of(const std::string& bytes)
 {
@@ -98,9 +101,26 @@
              fault != http::error::end_of_stream &&
              fault != http::error::partial_message)
         write(error_reply(400, "malformed_request", fault.message()), none);
+    linger();
     return false;
 }
 
+void caller_session::linger()
+{
+    // A close with bytes unread would reset the connection, and the caller
+    // that still sends them would lose the answer.
+    boost::system::error_code ended;
+    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                              ended);
+    stream_.expires_after(linger_limit);
+    std::array<char, 4'096> unread{};
+    while (!ended)
+        ended = await_io([&](auto handler) {
+                    stream_.async_read_some(boost::asio::buffer(unread),
+                                            std::move(handler));
+                }).fault;
+}
+
 bool caller_session::serve(const http_request& request)
 {
     const std::string path(request.target());
--- a/packages/web/caller_session_base.hpp
+++ b/packages/web/caller_session_base.hpp
@@ -49,6 +49,7 @@
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     bool read_next(http_request& into);
+    void linger();
     bool refuse_unreadable(const boost::system::error_code& fault,
                            const request_parser& parser);
     bool serve(const http_request& request);
