Let a client that is refused early finish sending

Cause: the platform path answered 408, 413, 431 or 400 before the request's end and closed with bytes unread, which resets the connection; a client that was still sending got a broken pipe instead of the answer. Ruled out: the answer's own write, which was done before the close. Change: half-close, then drop what comes for up to 1 s. The new case fails before (BrokenPipeError) and passes after.

--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -14,6 +14,8 @@
 /** Longest wait between two pieces of a body. */
 constexpr auto body_timeout = milliseconds(5'000);
 constexpr auto refusal_write_limit = milliseconds(1'000);
+/** For a client to finish a request that is refused before its end. */
+constexpr auto refusal_linger_limit = milliseconds(1'000);
 
 unsigned status_of(const boost::system::error_code& fault)
 {
@@ -115,6 +117,7 @@
                            static_cast<http::status>(status))) +
                        "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
                    refusal_write_limit);
+    stream_->linger(refusal_linger_limit);
 }
 
 } // namespace rosemarydeck
--- a/packages/gateway/client_stream_base.cpp
+++ b/packages/gateway/client_stream_base.cpp
@@ -116,6 +116,17 @@
     closed_ = true;
 }
 
+void client_stream::linger(duration limit)
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    runtime_clock clock;
+    const auto until = clock.now() + limit;
+    do {
+        buffer_.consume(buffer_.size());
+    } while (clock.now() < until && fill(until - clock.now()));
+}
+
 void client_stream::abort()
 {
     boost::system::error_code ignored;
--- a/packages/gateway/client_stream_base.hpp
+++ b/packages/gateway/client_stream_base.hpp
@@ -47,6 +47,10 @@
     }
     /** Ends the connection gracefully. */
     void close();
+    /** Says that no more follows and drops what the client still sends, until
+     *  it closes too: a close with bytes unread would reset the connection and
+     *  lose the last answer. @param limit Longest time for this. */
+    void linger(duration limit);
     /** Ends the connection so that no answer looks complete. */
     void abort();
 
--- a/tests/daemons/gateway_test.py
+++ b/tests/daemons/gateway_test.py
@@ -174,6 +174,19 @@
         self.assertEqual(big.status, 431)
         self.assertEqual(engine.runs, [])
 
+    def test_a_refusal_reaches_a_client_that_is_still_sending(self):
+        self.serve()
+        with socket.create_connection(("127.0.0.1", self.port), 10) as client:
+            client.sendall(b"POST /look/1 HTTP/1.1\r\nHost: site.example\r\n"
+                           b"Content-Length: 900000\r\n\r\n")
+            # The answer is there before the body; the rest must still go out.
+            self.assertTrue(client.recv(1, socket.MSG_PEEK))
+            for _ in range(9):
+                client.sendall(b"x" * 100_000)
+            client.shutdown(socket.SHUT_WR)
+            answer = b"".join(iter(lambda: client.recv(4096), b""))
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413 "), answer)
+
     def test_without_a_configuration_it_is_not_ready_and_refuses(self):
         self.start()
         fleet.wait_until(lambda: self.logged("event=engines_listed"), 20,
