--- a/packages/common/id_type.hpp
+++ b/packages/common/id_type.hpp
@@ -92,8 +92,6 @@
 using grant_id = strong_string<struct grant_tag>;
 /** Names a request by its path, caller and body, over all its attempts. */
 using request_fingerprint = strong_string<struct fingerprint_tag>;
-/** A group of VMs that share a ledger. */
-using cell_id = strong_string<struct cell_tag>;
 /** A request as one VM numbers it. */
 using request_id = strong_number<struct request_tag>;
 /** A platform call as one VM numbers it. */
--- /dev/null
+++ b/packages/credit/credit_purse_base.cpp
@@ -0,0 +1,122 @@
+/** @file credit_purse_base.cpp Tokens that other VMs have given this one. */
+#include "credit/credit_purse_base.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+double seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+credit_purse::credit_purse(credit_policy policy) : policy_(policy) {}
+
+double credit_purse::rate_at(const entry& known, time_point now) const
+{
+    const auto age = seconds(now - known.used_at);
+    return known.rate * std::exp(-age / seconds(policy_.rate_span));
+}
+
+void credit_purse::note_demand(const customer_id& customer, token_count tokens,
+                               time_point now)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto& known = entries_[customer];
+    known.rate = rate_at(known, now) +
+                 static_cast<double>(tokens) / seconds(policy_.rate_span);
+    known.used_at = now;
+    known.wanted = true;
+}
+
+bool credit_purse::reserve(const customer_id& customer, token_count tokens)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto& known = entries_[customer];
+    if (known.free < tokens)
+        return false;
+    known.free -= tokens;
+    return true;
+}
+
+void credit_purse::settle(const customer_id& customer, token_count reserved,
+                          token_count used)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    entries_[customer].free +=
+        reserved - std::clamp<token_count>(used, 0, reserved);
+}
+
+void credit_purse::add(const customer_id& customer, token_count tokens,
+                       time_point now)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto& known = entries_[customer];
+    known.free += tokens;
+    if (known.used_at == time_point{})
+        known.used_at = now;
+}
+
+token_count credit_purse::release(const customer_id& customer,
+                                  token_count least, token_count wish)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = entries_.find(customer);
+    if (found == entries_.end() || found->second.free < least)
+        return 0;
+    const auto given = std::min(found->second.free, std::max(least, wish));
+    found->second.free -= given;
+    return given;
+}
+
+std::vector<credit_wish> credit_purse::wishes(time_point now) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<credit_wish> result;
+    for (const auto& [customer, known] : entries_) {
+        if (!known.wanted)
+            continue;
+        const auto target = static_cast<token_count>(rate_at(known, now) *
+                                                     policy_.cover_seconds);
+        if (known.free * 2 < target)
+            result.push_back({customer, target - known.free});
+    }
+    return result;
+}
+
+std::vector<credit_return> credit_purse::take_idle(time_point now)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<credit_return> result;
+    for (auto& [customer, known] : entries_)
+        if (known.free > 0 && now - known.used_at > policy_.idle_limit)
+            result.push_back({customer, std::exchange(known.free, 0)});
+    return result;
+}
+
+std::vector<credit_return> credit_purse::take_all()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<credit_return> result;
+    for (auto& [customer, known] : entries_)
+        if (known.free > 0)
+            result.push_back({customer, std::exchange(known.free, 0)});
+    return result;
+}
+
+token_count credit_purse::free(const customer_id& customer) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = entries_.find(customer);
+    return found == entries_.end() ? 0 : found->second.free;
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/credit/credit_type.hpp
@@ -0,0 +1,58 @@
+/** @file credit_type.hpp How VMs hand each other parts of budgets. */
+#pragma once
+
+#include "common/id_type.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace rosemarydeck
+{
+
+/** Asks for tokens of a customer's budget. */
+struct credit_ask
+{
+    std::uint64_t number = 0; ///< Repeated in the answer.
+    customer_id customer;
+    token_count least = 0; ///< Less than this is of no use.
+    token_count wish = 0;  ///< This much would serve for a while.
+
+    bool operator==(const credit_ask&) const = default;
+};
+
+/** Answers an ask. The ledger has the tokens as spent by the giver, so
+ *  whoever holds them may use them without a word to anyone. */
+struct credit_gift
+{
+    std::uint64_t number = 0;
+    customer_id customer;
+    token_count tokens = 0; ///< 0 if the giver has too few.
+
+    bool operator==(const credit_gift&) const = default;
+};
+
+/** Gives back what was not needed. */
+struct credit_return
+{
+    customer_id customer;
+    token_count tokens = 0;
+
+    bool operator==(const credit_return&) const = default;
+};
+
+/** What passes between two VMs. */
+using credit_message = std::variant<credit_ask, credit_gift, credit_return>;
+
+/** A VM of the fleet, as it can be reached by others. */
+struct fleet_vm
+{
+    vm_id vm;
+    dc_id data_centre;
+    std::string address; ///< IP number.
+    std::uint16_t port = 0;
+
+    bool operator==(const fleet_vm&) const = default;
+};
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/credit/test/credit_test.cpp
@@ -0,0 +1,225 @@
+/** @file credit_test.cpp Parts of budgets that VMs hand each other. */
+#include "credit/credit_home_func.hpp"
+#include "credit/credit_message_func.hpp"
+#include "credit/credit_purse_base.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace rosemarydeck;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const customer_id acme("acme");
+
+time_point at(std::chrono::milliseconds time)
+{
+    return time_point(time);
+}
+
+std::vector<fleet_vm> fleet_of(int vms, int data_centres)
+{
+    std::vector<fleet_vm> fleet;
+    for (int number = 0; number < vms; ++number)
+        fleet.push_back(
+            {vm_id("vm-" + std::to_string(number)),
+             dc_id("dc" + std::to_string(number % data_centres)), "10.1.0.1",
+             7340});
+    return fleet;
+}
+
+/** Adds up all credit that a list holds. */
+token_count sum_of(const std::vector<credit_return>& credit)
+{
+    token_count sum = 0;
+    for (const auto& one : credit)
+        sum += one.tokens;
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("Credit is reserved, used and what is over stays", "[purse]")
+{
+    credit_purse purse;
+    CHECK_FALSE(purse.reserve(acme, 1));
+    purse.add(acme, 1'000, at(0ms));
+    REQUIRE(purse.reserve(acme, 700));
+    CHECK_FALSE(purse.reserve(acme, 301));
+    purse.settle(acme, 700, 200);
+    CHECK(purse.free(acme) == 800);
+    REQUIRE(purse.reserve(acme, 800));
+    purse.settle(acme, 800, 900); // Never more than was held.
+    CHECK(purse.free(acme) == 0);
+}
+
+TEST_CASE("Credit is given away only if it is enough", "[purse]")
+{
+    credit_purse purse;
+    purse.add(acme, 1'000, at(0ms));
+    CHECK(purse.release(acme, 1'001, 2'000) == 0);
+    CHECK(purse.release(acme, 400, 600) == 600);
+    CHECK(purse.release(acme, 400, 0) == 400);
+    CHECK(purse.release(acme, 0, 100) == 0);
+    CHECK(purse.release(customer_id("other"), 0, 100) == 0);
+}
+
+TEST_CASE("Wishes follow demand, met or not, and fade", "[purse]")
+{
+    credit_purse purse({.cover_seconds = 6, .rate_span = 8s});
+    CHECK(purse.wishes(at(0ms)).empty());
+    purse.note_demand(acme, 8'000, at(1s));
+    // 8,000 tokens over 8 s are a rate of 1,000, to be covered for 6 s.
+    const std::vector<credit_wish> wish{{acme, 6'000}};
+    CHECK(purse.wishes(at(1s)) == wish);
+    purse.add(acme, 2'000, at(1s));
+    CHECK(purse.wishes(at(1s)).front().tokens == 4'000);
+    CHECK(purse.wishes(at(20s)).empty());
+    // Credit that others gave back calls for none of its own.
+    credit_purse home;
+    home.add(acme, 10, at(0ms));
+    CHECK(home.wishes(at(1s)).empty());
+}
+
+TEST_CASE("Credit that is not used goes back", "[purse]")
+{
+    credit_purse purse({.idle_limit = 15s});
+    purse.add(acme, 1'000, at(1s));
+    CHECK(purse.take_idle(at(16s)).empty());
+    purse.note_demand(acme, 10, at(16s));
+    CHECK(purse.take_idle(at(31s)).empty());
+    const std::vector<credit_return> all{{acme, 1'000}};
+    CHECK(purse.take_idle(at(32s)) == all);
+    CHECK(purse.take_idle(at(60s)).empty());
+    purse.add(acme, 5, at(60s));
+    CHECK(sum_of(purse.take_all()) == 5);
+    CHECK(purse.free(acme) == 0);
+}
+
+TEST_CASE("No credit arises or vanishes between VMs", "[purse]")
+{
+    CHECK(rc::check("conservation", [] {
+        std::vector<credit_purse> purses(3);
+        token_count paid_in = 0;
+        token_count used = 0;
+        token_count reserved = 0;
+        std::vector<token_count> held(3);
+        for (int step = 0; step < 200; ++step) {
+            const auto pick = *rc::gen::inRange<std::size_t>(0, 3);
+            const auto tokens = *rc::gen::inRange<token_count>(0, 5'000);
+            const auto now = at(std::chrono::milliseconds(step * 100));
+            auto& purse = purses[pick];
+            switch (*rc::gen::inRange(0, 6)) {
+            case 0:
+                purse.add(acme, tokens, now);
+                paid_in += tokens;
+                break;
+            case 1:
+                if (purse.reserve(acme, tokens)) {
+                    held[pick] += tokens;
+                    reserved += tokens;
+                }
+                break;
+            case 2: {
+                const auto spent = std::min(held[pick], tokens);
+                purse.settle(acme, held[pick], spent);
+                reserved -= held[pick];
+                held[pick] = 0;
+                used += spent;
+                break;
+            }
+            case 3:
+                purses[(pick + 1) % 3].add(
+                    acme, purse.release(acme, tokens, tokens * 2), now);
+                break;
+            case 4:
+                for (const auto& one : purse.take_idle(now))
+                    purses[(pick + 1) % 3].add(acme, one.tokens, now);
+                break;
+            default:
+                purse.note_demand(acme, tokens, now);
+            }
+            token_count free = 0;
+            for (const auto& one : purses)
+                free += one.free(acme);
+            RC_ASSERT(free >= 0);
+            RC_ASSERT(free + used + reserved == paid_in);
+        }
+    }));
+}
+
+TEST_CASE("Each data centre has one home for a customer", "[home]")
+{
+    const auto fleet = fleet_of(30, 3);
+    const auto from_one = homes_of(acme, dc_id("dc1"), fleet);
+    REQUIRE(from_one.size() == 4);
+    CHECK(from_one[0].data_centre == dc_id("dc1"));
+    CHECK(from_one[3].data_centre == dc_id("dc1"));
+    CHECK(from_one[0].vm != from_one[3].vm);
+    std::set<vm_id> homes;
+    for (const auto* dc : {"dc0", "dc1", "dc2"})
+        homes.insert(homes_of(acme, dc_id(dc), fleet).front().vm);
+    CHECK(homes.size() == 3);
+    for (std::size_t at = 0; at < 3; ++at)
+        CHECK(homes.count(from_one[at].vm) == 1);
+    // A VM that leaves moves its own customers, and only to the next.
+    auto fewer = fleet;
+    std::erase_if(fewer,
+                  [&](const auto& one) { return one.vm == from_one[0].vm; });
+    CHECK(homes_of(acme, dc_id("dc1"), fewer).front().vm == from_one[3].vm);
+    CHECK(homes_of(acme, dc_id("dc2"), fewer).front() ==
+          homes_of(acme, dc_id("dc2"), fleet).front());
+    CHECK(homes_of(acme, dc_id("dc1"), {}).empty());
+}
+
+TEST_CASE("Customers are spread over the VMs of a data centre", "[home]")
+{
+    const auto fleet = fleet_of(85, 3);
+    std::map<vm_id, int> load;
+    for (int number = 0; number < 280; ++number)
+        ++load[homes_of(customer_id("c" + std::to_string(number)),
+                        dc_id("dc0"), fleet)
+                   .front()
+                   .vm];
+    CHECK(load.size() == 29);
+    for (const auto& [vm, customers] : load)
+        CHECK(customers < 30);
+}
+
+TEST_CASE("Messages survive their form on the wire", "[message]")
+{
+    for (const credit_message& message :
+         {credit_message(credit_ask{7, acme, 9'000, 20'000}),
+          credit_message(credit_gift{7, acme, 0}),
+          credit_message(credit_return{acme, 12})}) {
+        const auto read = decode_credit(encode_credit(message), "peer");
+        REQUIRE(read);
+        CHECK(*read == message);
+    }
+}
+
+TEST_CASE("Messages that are none are refused", "[message]")
+{
+    CHECK_FALSE(decode_credit("", "peer"));
+    CHECK_FALSE(decode_credit("text", "peer"));
+    // An amount below zero would add to the giver's budget.
+    CHECK_FALSE(decode_credit(encode_credit(credit_gift{1, acme, -5}), "b"));
+    CHECK(decode_credit("\xff", "vm-b").error().peer == "vm-b");
+    CHECK(rc::check("random bytes", [] {
+        const auto bytes = *rc::gen::arbitrary<std::string>();
+        const auto read = decode_credit(bytes, "peer");
+        if (!read)
+            RC_ASSERT(read.error().code == error_code::invalid_input);
+    }));
+    CHECK(rc::check("a changed byte", [] {
+        auto bytes = encode_credit(credit_ask{7, acme, 9'000, 20'000});
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+            *rc::gen::arbitrary<char>();
+        const auto read = decode_credit(bytes, "peer");
+        if (read && std::holds_alternative<credit_ask>(*read))
+            RC_ASSERT(std::get<credit_ask>(*read).least >= 0);
+    }));
+}
--- /dev/null
+++ b/packages/gateway/budget_part_base.cpp
@@ -0,0 +1,236 @@
+/** @file budget_part_base.cpp Keeps this VM's grants in one ledger. */
+#include "gateway/budget_part_base.hpp"
+
+#include "web/fiber_scheduler_base.hpp"
+
+#include <boost/fiber/all.hpp>
+#include <ctime>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+/** Time between renewals while nothing is wanted sooner. */
+constexpr auto renew_every = milliseconds(2'000);
+/** Added to it for each VM of the ledger beyond the first ten. */
+constexpr auto renew_more = milliseconds(200);
+/** Least time between renewals that requests ask for. */
+constexpr auto renew_apart = milliseconds(50);
+/** Others give back headroom within their own renewals. */
+constexpr auto short_span = milliseconds(700);
+/** Time between renewals, and for how long after the start, while runs that
+ *  have ended wait to be closed. */
+constexpr auto evidence_pause = milliseconds(300);
+constexpr auto evidence_span = milliseconds(5'000);
+/** Tries of one renewal against other VMs' writes. */
+constexpr int max_conflicts = 6;
+
+std::int64_t to_ms(const timespec& time)
+{
+    return static_cast<std::int64_t>(time.tv_sec) * 1'000 +
+           time.tv_nsec / 1'000'000;
+}
+
+} // namespace
+
+budget_part::budget_part(boost::asio::io_context& io,
+                         budget_part_options options, store_link& store,
+                         wallet& purse, event_log& log)
+    : io_(io), options_(std::move(options)), store_(store), purse_(purse),
+      log_(log), keeper_(options_.keeper, purse), timer_(io)
+{
+}
+
+void budget_part::start()
+{
+    boost::fibers::fiber(boost::fibers::launch::post, [this] {
+        run();
+    }).detach();
+}
+
+clock_reading budget_part::read_clocks() const
+{
+    timespec wall{};
+    timespec boot{};
+    ::clock_gettime(CLOCK_REALTIME, &wall);
+    ::clock_gettime(CLOCK_BOOTTIME, &boot);
+    return {clock_.now(), to_ms(wall), to_ms(boot)};
+}
+
+void budget_part::renew_soon()
+{
+    wanted_ = true;
+    timer_.cancel();
+}
+
+void budget_part::run()
+{
+    while (!closing_) {
+        renew();
+        pause();
+    }
+}
+
+duration budget_part::next_pause() const
+{
+    if (wanted_)
+        return renew_apart;
+    // After a restart each write adds to the evidence for the others.
+    if (has_ended_runs(keeper_.current()) &&
+        clock_.now() - started_ < evidence_span)
+        return evidence_pause;
+    const auto vms = keeper_.live_vms();
+    return renew_every + renew_more * (vms > 10 ? vms - 10 : 0);
+}
+
+void budget_part::pause()
+{
+    timer_.expires_after(next_pause());
+    const auto waited =
+        await_io([&](auto handler) { timer_.async_wait(std::move(handler)); });
+    if (waited.fault) // Cut short by renew_soon().
+        fiber_sleep(io_,
+                    std::max<duration>(duration{}, last_renewal_ + renew_apart -
+                                                       clock_.now()));
+}
+
+void budget_part::renew()
+{
+    wanted_ = false;
+    last_renewal_ = clock_.now();
+    if (keeper_.live_vms() > 1)
+        keeper_.expect_changes();
+    for (int tries = 0; tries < max_conflicts && !closing_; ++tries) {
+        // The first read may be old; a conflict brings the newest.
+        if (!keeper_.fresh() && !read(keeper_.joined()))
+            return;
+        const auto next = keeper_.prepare(options_.prepaid(), read_clocks());
+        if (write(next)) {
+            log_renewal(next);
+            note_rests();
+            for (const auto& customer : keeper_.short_customers())
+                purse_.note_short(customer, clock_.now() + short_span);
+            return;
+        }
+        if (!keeper_.fresh())
+            return;
+    }
+}
+
+bool budget_part::refresh(const std::optional<platform::store_object>& object)
+{
+    try {
+        keeper_.refreshed(object ? std::optional(object->spec.get<ledger>())
+                                 : std::nullopt,
+                          object ? object->revision : 0, clock_.now());
+        return true;
+    }
+    catch (const nlohmann::json::exception& fault) {
+        log_.write("ledger_unreadable",
+                   {{"ledger", options_.name}, {"why", fault.what()}});
+        return false;
+    }
+}
+
+bool budget_part::read(bool stale)
+{
+    const auto turn = store_.await_turn();
+    const auto reply = store_.call(
+        platform::get_call(platform::ledger_kind, options_.name, stale));
+    if (!reply)
+        return false;
+    const auto object = platform::decode_object(reply->status, reply->body);
+    return object && refresh(*object);
+}
+
+bool budget_part::write(const ledger_write& write)
+{
+    const auto turn = store_.await_turn();
+    const auto reply = store_.call(
+        platform::write_call(platform::ledger_kind, options_.name,
+                             nlohmann::json(write.next), write.condition));
+    const auto result = reply
+                            ? platform::decode_write(reply->status, reply->body)
+                            : tl::unexpected(reply.error().cause);
+    if (!result) {
+        keeper_.unanswered();
+        return false;
+    }
+    if (result->done) {
+        keeper_.written(result->object->revision, clock_.now());
+        log_closings(write);
+        return true;
+    }
+    if (!refresh(result->object))
+        keeper_.unanswered();
+    return false;
+}
+
+void budget_part::log_closings(const ledger_write& write)
+{
+    for (const auto& one : write.closings)
+        log_.write("run_closed",
+                   {{"ledger", options_.name},
+                    {"run", one.run.value()},
+                    {"silence_ms",
+                     one.silence ? std::to_string(one.silence->count() / 1'000)
+                                 : "unknown"},
+                    {"reported", one.reported},
+                    {"charged_beyond", one.charged}});
+}
+
+void budget_part::log_renewal(const ledger_write& write)
+{
+    token_count granted = 0;
+    token_count spent = 0;
+    token_count closed = 0;
+    token_count total = 0;
+    for (const auto& [customer, prepaid] : options_.prepaid()) {
+        total += prepaid;
+        const auto account = write.next.accounts.find(customer);
+        if (account == write.next.accounts.end())
+            continue;
+        closed += account->second.closed;
+        for (const auto& [run, share] : account->second.shares) {
+            granted += share.granted;
+            spent += share.spent;
+        }
+    }
+    log_.write("budgets_renewed",
+               {{"ledger", options_.name},
+                {"turn", write.next.turn},
+                {"runs", write.next.members.size()},
+                {"prepaid", total},
+                {"closed", closed},
+                {"granted", granted},
+                {"spent", spent},
+                {"short", keeper_.short_customers().size()}});
+}
+
+void budget_part::note_rests()
+{
+    if (!options_.rest_known)
+        return;
+    for (const auto& [customer, total] : options_.prepaid())
+        purse_.note_rest(customer, unspent(keeper_.current(), customer, total));
+}
+
+void budget_part::close()
+{
+    closing_ = true;
+    timer_.cancel();
+    for (int tries = 0; tries < max_conflicts; ++tries) {
+        if (store_.down() || !keeper_.joined())
+            return;
+        if (!keeper_.fresh() && !read(false))
+            return;
+        if (write(keeper_.prepare_close(read_clocks()))) {
+            log_.write("budgets_returned", {{"ledger", options_.name}});
+            return;
+        }
+    }
+}
+
+} // namespace rosemarydeck
--- /dev/null
+++ b/packages/gateway/budget_part_base.hpp
@@ -0,0 +1,70 @@
+/** @file budget_part_base.hpp Keeps this VM's grants in one ledger. */
+#pragma once
+
+#include "gateway/store_link_base.hpp"
+#include "ledger/ledger_keeper_base.hpp"
+
+#include <functional>
+
+namespace rosemarydeck
+{
+
+/** One ledger, and when this VM writes it. */
+struct budget_part_options
+{
+    ledger_keeper_options keeper;
+    std::string name; ///< Of the ledger in the store.
+    /** What the ledger has as spent is spent, and not credit of some VM. */
+    bool rest_known = true;
+    /** Prepaid totals of this part's customers, by the configuration. */
+    std::function<std::map<customer_id, token_count>()> prepaid;
+};
+
+/**
+ * This VM's side of one ledger: a fiber writes what was spent and what is
+ * wanted, and tells the wallet what it may spend. On the control thread.
+ */
+class budget_part
+{
+public:
+    budget_part(boost::asio::io_context& io, budget_part_options options,
+                store_link& store, wallet& purse, event_log& log);
+
+    /** Starts the fiber that renews. */
+    void start();
+    /** Renews soon. */
+    void renew_soon();
+    /** Ends this run's part and returns its headroom; suspends the fiber. */
+    void close();
+
+    /** @return True once a write of this run is in the ledger. */
+    [[nodiscard]] bool joined() const { return keeper_.joined(); }
+
+private:
+    void run();
+    void renew();
+    bool read(bool stale);
+    bool write(const ledger_write& write);
+    bool refresh(const std::optional<platform::store_object>& object);
+    void note_rests();
+    void log_closings(const ledger_write& write);
+    void log_renewal(const ledger_write& write);
+    void pause();
+    [[nodiscard]] duration next_pause() const;
+    [[nodiscard]] clock_reading read_clocks() const;
+
+    boost::asio::io_context& io_;
+    budget_part_options options_;
+    store_link& store_;
+    wallet& purse_;
+    event_log& log_;
+    runtime_clock clock_;
+    ledger_keeper keeper_;
+    boost::asio::steady_timer timer_;
+    bool wanted_ = false;
+    bool closing_ = false;
+    time_point started_ = clock_.now();
+    time_point last_renewal_{};
+};
+
+} // namespace rosemarydeck
--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -1,10 +1,10 @@
-/** @file control_budget.cpp Keeps this VM's grants in step with the ledger. */
+/** @file control_budget.cpp Divides the customers' budgets into ledgers. */
 #include "gateway/control_service_base.hpp"
 
 #include "ledger/ledger_layout_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
-#include <ctime>
+#include <boost/fiber/all.hpp>
 
 namespace rosemarydeck
 {
@@ -12,82 +12,40 @@
 namespace
 {
 
-/** Time between renewals while nothing is wanted sooner. */
-constexpr auto renew_every = milliseconds(2'000);
-/** Added to it for each VM of the cell beyond the first ten. */
-constexpr auto renew_more = milliseconds(200);
-/** Least time between renewals that requests ask for. */
-constexpr auto renew_apart = milliseconds(50);
-/** Others give back headroom within their own renewals. */
+/** Time between tries to learn the layout from a store that is away. */
+constexpr auto layout_pause = milliseconds(300);
+/** Some VM in each of so many data centres draws on a customer's ledger. */
+constexpr std::size_t homes_expected = 3;
+/** Time for a renewal that another VM's ask needs, and between looks at it. */
+constexpr auto give_limit = milliseconds(80);
+constexpr auto give_check = milliseconds(10);
+/** Other VMs give back headroom within their own renewals. */
 constexpr auto short_span = milliseconds(700);
-/** Time between renewals, and for how long after the start, while runs that
- *  have ended wait to be closed. */
-constexpr auto evidence_pause = milliseconds(300);
-constexpr auto evidence_span = milliseconds(5'000);
-/** Tries of one renewal against other VMs' writes. */
-constexpr int max_conflicts = 6;
-
-std::int64_t to_ms(const timespec& time)
-{
-    return static_cast<std::int64_t>(time.tv_sec) * 1'000 +
-           time.tv_nsec / 1'000'000;
-}
+/** All VMs of a new fleet are known by then. */
+constexpr auto fleet_span = milliseconds(5'000);
+/** Time for what is given back to be sent. */
+constexpr auto return_span = milliseconds(50);
 
 } // namespace
 
-clock_reading control_service::read_clocks() const
-{
-    timespec wall{};
-    timespec boot{};
-    ::clock_gettime(CLOCK_REALTIME, &wall);
-    ::clock_gettime(CLOCK_BOOTTIME, &boot);
-    return {clock_.now(), to_ms(wall), to_ms(boot)};
-}
-
-void control_service::renew_soon()
-{
-    renew_wanted_ = true;
-    renew_timer_.cancel();
-}
-
 void control_service::keep_budgets()
 {
-    while (!closing_) {
-        if (config_ && !closing_ && know_layout())
-            renew_budgets();
-        const auto vms = keeper_.live_vms();
-        milliseconds pause =
-            renew_every + renew_more * (vms > 10 ? vms - 10 : 0);
-        if (renew_wanted_)
-            pause = renew_apart;
-        renew_wanted_ = false;
-        // After a restart each write adds to the evidence for the others.
-        if (has_ended_runs(keeper_.current()) &&
-            clock_.now() - started_ < evidence_span)
-            pause = evidence_pause;
-        renew_timer_.expires_after(pause);
-        const auto waited = await_io(
-            [&](auto handler) { renew_timer_.async_wait(std::move(handler)); });
-        if (waited.fault) // Cut short by renew_soon().
-            fiber_sleep(io_, std::max<duration>(duration{}, last_renewal_ +
-                                                                renew_apart -
-                                                                clock_.now()));
-    }
-}
-
-std::map<customer_id, token_count> control_service::prepaid() const
-{
-    std::map<customer_id, token_count> result;
-    for (const auto& customer : config_->config().customers)
-        if (customer.prepaid)
-            result[customer.id] = cell_part(*layout_, cell_, *customer.prepaid);
-    return result;
+    while (!closing_ && !(config_ && know_layout()))
+        fiber_sleep(io_, layout_pause);
+    if (closing_)
+        return;
+    if (layout_->parts == 1)
+        part(0);
+    else
+        while (!closing_ && !resume_parts())
+            fiber_sleep(io_, layout_pause);
+    if (layout_->parts > 1)
+        credits_.start();
+    budgets_known_ = true;
 }
 
 bool control_service::know_layout()
 {
-    if (layout_)
-        return true;
     const auto turn = store_.await_turn();
     const auto wanted = layout_for(options_.settings.store_writes_per_s);
     const auto reply = store_.call(
@@ -106,155 +64,145 @@
         log_.write("layout_unreadable", {{"why", fault.what()}});
         return false;
     }
-    cell_ = cell_of(*layout_, options_.settings.vm);
-    ledger_name_ = name_of_cell(cell_).value();
-    keeper_.hold_unseen(layout_->cells == 1);
-    log_.write("ledger_layout", {{"cells", layout_->cells}, {"cell", cell_}});
+    log_.write("ledger_layout", {{"parts", layout_->parts}});
     return true;
 }
 
-void control_service::renew_budgets()
+bool control_service::resume_parts()
 {
-    const auto live_before = keeper_.live_vms();
-    last_renewal_ = clock_.now();
-    keeper_.expect_changes();
-    keeper_.set_crashes(crashes_.own(clock_.now()));
-    for (int tries = 0; tries < max_conflicts && !closing_; ++tries) {
-        // The first read may be old; a conflict brings the newest.
-        if (!keeper_.fresh() && !read_ledger(keeper_.joined()))
-            return;
-        if (write_ledger(keeper_.prepare(prepaid(), read_clocks()))) {
-            note_rests();
-            share_crashes();
-            for (const auto& customer : keeper_.short_customers())
-                purse_.note_short(customer, clock_.now() + short_span);
-            if (live_before != keeper_.live_vms())
-                publish();
-            ask_other_cells();
-            return;
+    const auto objects = list_all(platform::ledger_kind, false);
+    if (!objects)
+        return false;
+    for (const auto& object : objects->objects) {
+        const auto number = part_named(*layout_, object.name);
+        if (!number)
+            continue;
+        try {
+            const auto found = object.spec.get<ledger>();
+            for (const auto& [run, member] : found.members)
+                if (member.vm == options_.settings.vm && !member.closed)
+                    part(*number);
+        }
+        catch (const nlohmann::json::exception& fault) {
+            log_.write("ledger_unreadable",
+                       {{"ledger", object.name}, {"why", fault.what()}});
         }
-        if (!keeper_.fresh())
-            return;
     }
+    return true;
 }
 
-bool control_service::read_ledger(bool stale)
+budget_part& control_service::part(std::uint32_t number)
 {
-    const auto turn = store_.await_turn();
-    const auto reply = store_.call(
-        platform::get_call(platform::ledger_kind, ledger_name_, stale));
-    if (!reply)
-        return false;
-    const auto object = platform::decode_object(reply->status, reply->body);
-    if (!object)
-        return false;
-    if (!*object) {
-        keeper_.refreshed(std::nullopt, 0, clock_.now());
-        return true;
+    auto& known = parts_[number];
+    if (known)
+        return *known;
+    budget_part_options options;
+    options.keeper = keeper_options();
+    options.name = name_of_part(number);
+    options.prepaid = [this, number] { return prepaid(number); };
+    if (layout_->parts > 1) {
+        options.rest_known = false;
+        options.keeper.policy.least_vms = homes_expected;
     }
-    try {
-        keeper_.refreshed((*object)->spec.get<ledger>(), (*object)->revision,
-                          clock_.now());
-    }
-    catch (const nlohmann::json::exception& fault) {
-        log_.write("ledger_unreadable", {{"why", fault.what()}});
-        return false;
-    }
-    return true;
+    known = std::make_unique<budget_part>(io_, std::move(options), store_,
+                                          purse_, log_);
+    known->start();
+    return *known;
 }
 
-bool control_service::write_ledger(const ledger_write& write)
+std::map<customer_id, token_count>
+control_service::prepaid(std::uint32_t number) const
 {
-    const auto turn = store_.await_turn();
-    const auto reply = store_.call(
-        platform::write_call(platform::ledger_kind, ledger_name_,
-                             nlohmann::json(write.next), write.condition));
-    if (!reply) {
-        keeper_.unanswered();
-        return false;
-    }
-    const auto result = platform::decode_write(reply->status, reply->body);
-    if (!result) {
-        keeper_.unanswered();
-        return false;
-    }
-    if (result->done) {
-        keeper_.written(result->object->revision, clock_.now());
-        log_budgets(write);
-        return true;
-    }
-    try {
-        keeper_.refreshed(
-            result->object ? std::optional(result->object->spec.get<ledger>())
-                           : std::nullopt,
-            result->object ? result->object->revision : 0, clock_.now());
-    }
-    catch (const nlohmann::json::exception& fault) {
-        log_.write("ledger_unreadable", {{"why", fault.what()}});
-        keeper_.unanswered();
-    }
-    return false;
+    std::map<customer_id, token_count> result;
+    for (const auto& customer : config_->config().customers)
+        if (customer.prepaid && part_of(*layout_, customer.id) == number)
+            result[customer.id] = *customer.prepaid;
+    return result;
 }
 
-void control_service::log_budgets(const ledger_write& write)
+void control_service::want_grant(const customer_id& customer,
+                                 token_count tokens)
 {
-    for (const auto& one : write.closings)
-        log_.write("run_closed",
-                   {{"run", one.run.value()},
-                    {"silence_ms",
-                     one.silence ? std::to_string(one.silence->count() / 1'000)
-                                 : "unknown"},
-                    {"reported", one.reported},
-                    {"charged_beyond", one.charged}});
-    token_count granted = 0;
-    token_count spent = 0;
-    token_count closed = 0;
-    token_count total = 0;
-    for (const auto& [customer, prepaid_total] : prepaid()) {
-        total += prepaid_total;
-        const auto account = write.next.accounts.find(customer);
-        if (account == write.next.accounts.end())
-            continue;
-        closed += account->second.closed;
-        for (const auto& [run, share] : account->second.shares) {
-            granted += share.granted;
-            spent += share.spent;
-        }
+    if (!budgets_known_ || closing_)
+        return;
+    if (layout_->parts == 1 || credits_.is_home(customer))
+        return part(part_of(*layout_, customer)).renew_soon();
+    boost::fibers::fiber(boost::fibers::launch::post, [=, this] {
+        if (!credits_.ask(customer, tokens))
+            purse_.note_short(customer, clock_.now() + short_span);
+    }).detach();
+}
+
+token_count control_service::give(const credit_ask& ask)
+{
+    const auto customers = budgeted();
+    if (!budgets_known_ || closing_ ||
+        std::find(customers.begin(), customers.end(), ask.customer) ==
+            customers.end())
+        return 0;
+    const auto until = clock_.now() + give_limit;
+    while (true) {
+        const auto now = clock_.now();
+        const auto given =
+            purse_.take(ask.customer, ask.least, ask.wish, now);
+        if (given > 0 || ask.least == 0 || now >= until || store_.down() ||
+            !purse_.may_grow(ask.customer, now))
+            return given;
+        part(part_of(*layout_, ask.customer)).renew_soon();
+        fiber_sleep(io_, give_check);
     }
-    log_.write("budgets_renewed",
-               {{"cell", cell_},
-                {"turn", write.next.turn},
-                {"runs", write.next.members.size()},
-                {"prepaid", total},
-                {"closed", closed},
-                {"granted", granted},
-                {"spent", spent},
-                {"short", keeper_.short_customers().size()}});
 }
 
-void control_service::note_rests()
+void control_service::join_own_parts()
 {
-    // With several cells the others' rest is not known, nor that it is spent.
-    if (layout_->cells > 1)
+    if (!budgets_known_ || layout_->parts == 1 || !config_ ||
+        clock_.now() - started_ < fleet_span)
         return;
-    for (const auto& [customer, total] : prepaid())
-        purse_.note_rest(customer, unspent(keeper_.current(), customer, total));
+    for (const auto& customer : budgeted())
+        if (credits_.is_home(customer))
+            part(part_of(*layout_, customer));
+}
+
+std::vector<customer_id> control_service::budgeted() const
+{
+    std::vector<customer_id> result;
+    for (const auto& customer : config_->config().customers)
+        if (customer.prepaid)
+            result.push_back(customer.id);
+    return result;
+}
+
+fleet_vm control_service::self() const
+{
+    return {options_.settings.vm, options_.settings.data_centre,
+            options_.settings.control.address, options_.settings.control.port};
+}
+
+void control_service::renew_changed(const router_config& before)
+{
+    if (!budgets_known_)
+        return;
+    std::map<customer_id, std::optional<token_count>> known;
+    for (const auto& customer : before.customers)
+        known[customer.id] = customer.prepaid;
+    for (const auto& customer : config_->config().customers) {
+        const auto found = known.find(customer.id);
+        const auto part = parts_.find(part_of(*layout_, customer.id));
+        if (part != parts_.end() &&
+            (found == known.end() || found->second != customer.prepaid))
+            part->second->renew_soon();
+    }
 }
 
 void control_service::close_budgets()
 {
     closing_ = true;
-    renew_timer_.cancel();
-    for (int tries = 0; tries < max_conflicts; ++tries) {
-        if (store_.down() || !keeper_.joined())
-            return;
-        if (!keeper_.fresh() && !read_ledger(false))
-            return;
-        if (write_ledger(keeper_.prepare_close(read_clocks()))) {
-            log_.write("budgets_returned", {});
-            return;
-        }
+    if (budgets_known_ && layout_->parts > 1) {
+        credits_.close();
+        fiber_sleep(io_, return_span);
     }
+    for (const auto& [number, part] : parts_)
+        part->close();
 }
 
 } // namespace rosemarydeck
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -28,40 +28,53 @@
     return name;
 }
 
-ledger_keeper_options keeper_options(const control_options& options)
-{
-    ledger_keeper_options result;
-    result.self = options.self;
-    result.member.vm = options.settings.vm;
-    result.member.address = options.settings.control.text();
-    result.member.boot = boot_name();
-    return result;
-}
-
 } // namespace
 
 control_service::control_service(boost::asio::io_context& io,
                                  control_options options, wallet& purse,
-                                 event_log& log, gateway_metrics& metrics)
+                                 credit_purse& credit, event_log& log,
+                                 gateway_metrics& metrics)
     : io_(io), options_(std::move(options)), purse_(purse), log_(log),
       metrics_(metrics), store_(io, options_.settings.store, log, metrics),
-      keeper_(keeper_options(options_), purse), renew_timer_(io)
+      credits_(io,
+               {.self = self(),
+                .give = [this](const credit_ask& ask) { return give(ask); }},
+               credit, log, metrics),
+      presence_({.self = options_.settings.vm}),
+      own_presence_({.run = options_.self,
+                     .data_centre = options_.settings.data_centre,
+                     .address = options_.settings.control.address,
+                     .port = options_.settings.control.port})
 {
 }
 
+ledger_keeper_options control_service::keeper_options() const
+{
+    ledger_keeper_options result;
+    result.self = options_.self;
+    result.member.vm = options_.settings.vm;
+    result.member.boot = boot_name();
+    return result;
+}
+
 void control_service::start()
 {
     using boost::fibers::fiber;
     using boost::fibers::launch;
-    fiber(launch::post, [this] { follow(platform::config_kind); }).detach();
-    fiber(launch::post, [this] { follow(platform::engine_kind); }).detach();
+    for (const auto* kind :
+         {platform::config_kind, platform::engine_kind, platform::crash_kind})
+        fiber(launch::post, [this, kind] { follow(kind); }).detach();
     fiber(launch::post, [this] { keep_budgets(); }).detach();
+    fiber(launch::post, [this] { keep_presence(); }).detach();
     fiber(launch::post, [this] { drop_lapsed(); }).detach();
 }
 
 bool control_service::ready() const
 {
-    return !closing_ && config_ && engines_known_ && keeper_.joined();
+    if (closing_ || !config_ || !engines_known_ || !budgets_known_)
+        return false;
+    // A single ledger holds headroom for all customers before they come.
+    return layout_->parts > 1 || parts_.at(0)->joined();
 }
 
 void control_service::follow(const std::string& kind)
@@ -80,46 +93,63 @@
     }
 }
 
-bool control_service::load(const std::string& kind, std::uint64_t& revision)
+expected<platform::store_list>
+control_service::list_all(const std::string& kind, bool stale)
 {
-    std::vector<platform::store_event> events;
+    platform::store_list all;
     std::string after;
     while (true) {
         const auto turn = store_.await_turn();
-        const auto reply = store_.call(platform::list_call(kind, after));
+        const auto reply = store_.call(platform::list_call(kind, after, stale));
         if (!reply)
-            return false;
-        const auto page = platform::decode_list(reply->status, reply->body);
+            return tl::unexpected(reply.error().cause);
+        auto page = platform::decode_list(reply->status, reply->body);
         if (!page)
-            return false;
-        for (const auto& object : page->objects)
-            events.push_back({object, false});
-        revision = after.empty() ? page->revision : revision;
+            return page;
+        // Changes since the first page are seen by the watch that follows.
+        if (after.empty())
+            all.revision = page->revision;
+        std::move(page->objects.begin(), page->objects.end(),
+                  std::back_inserter(all.objects));
         if (!page->more || page->objects.empty())
-            break;
-        after = page->objects.back().name;
-    }
-    if (kind == platform::engine_kind) {
-        std::vector<engine_info> listed;
-        for (const auto& event : events) {
-            const auto engine =
-                platform::decode_engine(event.object.name, event.object.spec);
-            if (engine)
-                listed.push_back(*engine);
-        }
-        if (std::exchange(seen_recoveries_, store_.recoveries()) !=
-            store_.recoveries())
-            directory_.outage_ended(clock_.now());
-        directory_.replace(listed, clock_.now());
-        engines_known_ = true;
-        log_.write("engines_listed", {{"engines", listed.size()},
-                                      {"entries", events.size()},
-                                      {"revision", revision}});
+            return all;
+        after = all.objects.back().name;
     }
+}
+
+bool control_service::load(const std::string& kind, std::uint64_t& revision)
+{
+    const auto list = list_all(kind, false);
+    if (!list)
+        return false;
+    revision = list->revision;
+    std::vector<platform::store_event> events;
+    for (const auto& object : list->objects)
+        events.push_back({object, false});
+    if (kind == platform::engine_kind)
+        take_engines(*list);
     apply(kind, events);
     return true;
 }
 
+void control_service::take_engines(const platform::store_list& list)
+{
+    std::vector<engine_info> listed;
+    for (const auto& object : list.objects) {
+        const auto engine = platform::decode_engine(object.name, object.spec);
+        if (engine)
+            listed.push_back(*engine);
+    }
+    if (std::exchange(seen_recoveries_, store_.recoveries()) !=
+        store_.recoveries())
+        directory_.outage_ended(clock_.now());
+    directory_.replace(listed, clock_.now());
+    engines_known_ = true;
+    log_.write("engines_listed", {{"engines", listed.size()},
+                                  {"entries", list.objects.size()},
+                                  {"revision", list.revision}});
+}
+
 bool control_service::watch(const std::string& kind, std::uint64_t& revision)
 {
     const auto turn = store_.await_turn();
@@ -150,6 +180,8 @@
     for (const auto& event : events) {
         if (kind == platform::engine_kind)
             apply_engine(event);
+        else if (kind == platform::crash_kind)
+            apply_crashes(event);
         else if (event.object.name == platform::config_name && !event.removed)
             apply_config(event.object);
     }
@@ -174,10 +206,10 @@
                 {"revision", object.revision},
                 {"routes", decoded->routes.size()},
                 {"customers", decoded->customers.size()}});
-    const bool first = !config_;
-    config_ = std::make_shared<config_index>(*std::move(decoded));
-    if (first)
-        renew_soon();
+    const auto before = std::exchange(
+        config_, std::make_shared<config_index>(*std::move(decoded)));
+    if (before)
+        renew_changed(before->config());
 }
 
 void control_service::apply_engine(const platform::store_event& event)
@@ -210,6 +242,7 @@
         fiber_sleep(io_, lapse_check);
         if (directory_.expire(clock_.now()))
             publish();
+        note_blocked();
         log_.flush();
     }
 }
@@ -219,9 +252,7 @@
     auto view = std::make_shared<fleet_view>();
     view->config = config_;
     view->engines = directory_.usable();
-    // So much for each cell: then the VMs' parts of the fleet's bounds add up
-    // to the whole, however many VMs the other cells have.
-    view->live_vms = keeper_.live_vms() * (layout_ ? layout_->cells : 1);
+    view->live_vms = presence_.live_vms(clock_.now());
     view->blocked = blocked_;
     view->suspected = suspected_;
     options_.publish(std::move(view));
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -1,10 +1,12 @@
 /** @file control_service_base.hpp Follows the store for this VM. */
 #pragma once
 
+#include "gateway/budget_part_base.hpp"
+#include "gateway/credit_service_base.hpp"
 #include "gateway/store_link_base.hpp"
-#include "ledger/ledger_keeper_base.hpp"
 #include "router/crash_record_base.hpp"
 #include "router/engine_directory_base.hpp"
+#include "router/fleet_presence_base.hpp"
 
 #include <functional>
 
@@ -28,12 +30,13 @@
 {
 public:
     control_service(boost::asio::io_context& io, control_options options,
-                    wallet& purse, event_log& log, gateway_metrics& metrics);
+                    wallet& purse, credit_purse& credit, event_log& log,
+                    gateway_metrics& metrics);
 
     /** Starts the fibers that follow the store. */
     void start();
-    /** Renews budgets soon; on the control thread. */
-    void renew_soon();
+    /** Looks for tokens that a request lacks. */
+    void want_grant(const customer_id& customer, token_count tokens);
     /** Notes that an engine went down with a request. */
     void note_crash(const request_fingerprint& request,
                     const server_id& engine);
@@ -49,6 +52,9 @@
     // Configuration and engines.
     void follow(const std::string& kind);
     bool load(const std::string& kind, std::uint64_t& revision);
+    [[nodiscard]] expected<platform::store_list>
+    list_all(const std::string& kind, bool stale);
+    void take_engines(const platform::store_list& list);
     bool watch(const std::string& kind, std::uint64_t& revision);
     void apply(const std::string& kind,
                const std::vector<platform::store_event>& events);
@@ -59,17 +65,29 @@
 
     // Budgets.
     void keep_budgets();
-    void renew_budgets();
     bool know_layout();
-    void ask_other_cells();
-    bool ask_cell(std::uint32_t donor, const customer_id& customer);
-    bool read_ledger(bool stale);
-    bool write_ledger(const ledger_write& write);
-    [[nodiscard]] std::map<customer_id, token_count> prepaid() const;
-    void note_rests();
-    void share_crashes();
-    void log_budgets(const ledger_write& write);
-    [[nodiscard]] clock_reading read_clocks() const;
+    bool resume_parts();
+    budget_part& part(std::uint32_t number);
+    void renew_changed(const router_config& before);
+    token_count give(const credit_ask& ask);
+    void join_own_parts();
+    [[nodiscard]] fleet_vm self() const;
+    [[nodiscard]] std::vector<customer_id> budgeted() const;
+    [[nodiscard]] std::map<customer_id, token_count>
+    prepaid(std::uint32_t number) const;
+    [[nodiscard]] ledger_keeper_options keeper_options() const;
+
+    // What VMs tell each other.
+    void keep_presence();
+    bool beat();
+    void list_presence();
+    void remove_forgotten();
+    bool put_own(const char* kind, const nlohmann::json& spec,
+                 std::uint64_t& revision);
+    void apply_crashes(const platform::store_event& event);
+    void crashes_changed();
+    void tell_crashes();
+    void note_blocked();
 
     boost::asio::io_context& io_;
     control_options options_;
@@ -82,20 +100,22 @@
     engine_directory directory_;
     bool engines_known_ = false;
     std::uint64_t seen_recoveries_ = 0;
-    ledger_keeper keeper_;
     std::optional<ledger_layout> layout_;
-    std::uint32_t cell_ = 0;
-    std::string ledger_name_;
-    std::uint32_t next_donor_ = 0;
-    time_point last_gift_{};
+    std::map<std::uint32_t, std::unique_ptr<budget_part>> parts_;
+    bool budgets_known_ = false; ///< Where they stand, not what is left.
+    credit_service credits_;
+    fleet_presence presence_;
+    vm_presence own_presence_;
+    std::uint64_t presence_revision_ = 0;
     crash_record crashes_;
+    std::uint64_t crash_revision_ = 0;
+    bool own_crashes_read_ = false; ///< Or replaced.
+    bool crashes_untold_ = false;
+    bool telling_crashes_ = false;
     std::set<request_fingerprint> suspected_;
     std::set<request_fingerprint> blocked_;
-    boost::asio::steady_timer renew_timer_;
-    bool renew_wanted_ = false;
     bool closing_ = false;
     time_point started_ = clock_.now();
-    time_point last_renewal_{};
 };
 
 } // namespace rosemarydeck
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -148,11 +148,9 @@
     if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt)
         return true;
     const auto charge = head_.largest_charge();
-    if (shared_.purse.reserve(customer_->id, charge, started_) ||
-        reserve_waiting()) {
-        reserved_ = charge;
+    shared_.credit.note_demand(customer_->id, charge, started_);
+    if (take_tokens(charge) || reserve_waiting())
         return true;
-    }
     if (shared_.purse.rest(customer_->id) < charge)
         refuse(402, counter::refused_budget_spent, "budget_spent");
     else
@@ -161,6 +159,16 @@
     return false;
 }
 
+bool exchange::take_tokens(token_count charge)
+{
+    from_credit_ = shared_.credit.reserve(customer_->id, charge);
+    if (!from_credit_ &&
+        !shared_.purse.reserve(customer_->id, charge, shared_.clock.now()))
+        return false;
+    reserved_ = charge;
+    return true;
+}
+
 bool exchange::reserve_waiting()
 {
     const auto until = std::min(started_ + duration(grant_wait), deadline_);
@@ -168,10 +176,10 @@
     if (shared_.purse.rest(customer_->id) < charge ||
         !shared_.purse.may_grow(customer_->id, started_))
         return false;
-    shared_.control.want_grant();
+    shared_.control.want_grant(customer_->id, charge);
     while (shared_.clock.now() < until && !client_.closed()) {
         fiber_sleep(shared_.io, grant_check);
-        if (shared_.purse.reserve(customer_->id, charge, shared_.clock.now()))
+        if (take_tokens(charge))
             return true;
     }
     return false;
@@ -218,7 +226,10 @@
                                : head_.max_output_tokens;
     used += static_cast<token_count>(last_event_ - first_event_) * per_event;
     used = std::min(used, reserved_);
-    shared_.purse.settle(customer_->id, reserved_, used);
+    if (from_credit_)
+        shared_.credit.settle(customer_->id, reserved_, used);
+    else
+        shared_.purse.settle(customer_->id, reserved_, used);
     shared_.metrics.add(counter::tokens_charged,
                         static_cast<std::uint64_t>(used));
     reserved_ = 0;
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -51,6 +51,7 @@
     bool admit();
     bool authorize();
     bool reserve();
+    bool take_tokens(token_count charge);
     bool reserve_waiting();
     bool crashes_engines() const;
     [[nodiscard]] request_fingerprint fingerprint() const;
@@ -103,6 +104,7 @@
     bool timed_out_ = false;
 
     token_count reserved_ = 0;
+    bool from_credit_ = false;
     bool may_have_run_ = false;
     std::uint32_t sends_ = 0;
     std::set<server_id> tried_;
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -55,8 +55,8 @@
                          {"data_centre", settings_.data_centre.value()},
                          {"callers", settings_.callers.text()}});
     control_ = std::make_unique<control_service>(io_, std::move(options),
-                                                 purse_, log_, metrics_);
-    traffic_ = std::make_unique<traffic_service>(settings_, purse_, log_,
+                                                 purse_, credit_, log_, metrics_);
+    traffic_ = std::make_unique<traffic_service>(settings_, purse_, credit_, log_,
                                                  metrics_, make_calls());
     const auto opened = open_ports();
     if (!opened) {
@@ -75,8 +75,11 @@
 control_calls gateway::make_calls()
 {
     control_calls calls;
-    calls.want_grant = [this] {
-        boost::asio::post(io_, [this] { control_->renew_soon(); });
+    calls.want_grant = [this](const customer_id& customer,
+                              token_count tokens) {
+        boost::asio::post(io_, [this, customer, tokens] {
+            control_->want_grant(customer, tokens);
+        });
     };
     calls.crash_seen = [this](const request_fingerprint& request,
                               const server_id& engine) {
--- a/packages/gateway/gateway_base.hpp
+++ b/packages/gateway/gateway_base.hpp
@@ -42,6 +42,7 @@
     event_log log_;
     gateway_metrics metrics_;
     wallet purse_;
+    credit_purse credit_;
     runtime_clock clock_;
     std::unique_ptr<control_service> control_;
     std::unique_ptr<traffic_service> traffic_;
--- a/packages/gateway/gateway_metrics_base.cpp
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -44,6 +44,8 @@
         {"store_calls_total", "Calls to the platform's store."},
         {"store_failures_total", "Of these, without a usable answer."},
         {"config_changes_total", "Configurations taken into force."},
+        {"credit_asks_total", "Asks for budget sent to other VMs."},
+        {"credit_given_tokens_total", "Tokens given to other VMs."},
     }};
 
 constexpr std::array<metric_row, static_cast<std::size_t>(histogram::count_)>
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -38,6 +38,8 @@
     store_calls,
     store_failures,
     config_changes,
+    credit_asked,
+    credit_given,
     count_,
 };
 
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -1,6 +1,7 @@
 /** @file traffic_context_type.hpp What all connections of a thread share. */
 #pragma once
 
+#include "credit/credit_purse_base.hpp"
 #include "gateway/engine_pool_base.hpp"
 #include "gateway/event_log_base.hpp"
 #include "gateway/gateway_metrics_base.hpp"
@@ -17,8 +18,8 @@
 /** What the traffic thread asks of the control thread; callable from any. */
 struct control_calls
 {
-    /** More headroom is wanted soon. */
-    std::function<void()> want_grant;
+    /** A request lacks tokens of a customer's budget. */
+    std::function<void(const customer_id&, token_count)> want_grant;
     /** An engine went down while it had a request. */
     std::function<void(const request_fingerprint&, const server_id&)>
         crash_seen;
@@ -32,6 +33,7 @@
     boost::asio::io_context& io;
     gateway_settings settings;
     wallet& purse;
+    credit_purse& credit;
     event_log& log;
     gateway_metrics& metrics;
     control_calls control;
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -20,11 +20,13 @@
 } // namespace
 
 traffic_service::traffic_service(const gateway_settings& settings,
-                                 wallet& purse, event_log& log,
+                                 wallet& purse, credit_purse& credit,
+                                 event_log& log,
                                  gateway_metrics& metrics, control_calls calls)
     : shared_{.io = io_,
               .settings = settings,
               .purse = purse,
+              .credit = credit,
               .log = log,
               .metrics = metrics,
               .control = std::move(calls)}
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -15,7 +15,7 @@
 {
 public:
     traffic_service(const gateway_settings& settings, wallet& purse,
-                    event_log& log, gateway_metrics& metrics,
+                    credit_purse& credit, event_log& log, gateway_metrics& metrics,
                     control_calls calls);
     ~traffic_service();
 
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-/** Requests whose crashes are shared. */
-constexpr std::size_t max_crashes = 64;
 /** Writes of a run that are kept as evidence for others' ends. */
 constexpr std::size_t max_marks = 5;
 
@@ -73,41 +71,6 @@
     entry.marks = std::move(marks);
 }
 
-/** Writes which crashes this VM has seen and keeps the newest entries. */
-void write_crashes(ledger& value, const ledger_renewal& wish)
-{
-    const auto& vm = wish.member.vm;
-    for (auto& [request, crash] : value.crashes) {
-        const auto seen = wish.crashes.find(request);
-        std::erase_if(crash.engines, [&](const auto& one) {
-            return one.second == vm && (seen == wish.crashes.end() ||
-                                        !seen->second.count(one.first));
-        });
-    }
-    for (const auto& [request, engines] : wish.crashes)
-        for (const auto& engine : engines)
-            if (value.crashes[request].engines.emplace(engine, vm).second)
-                value.crashes[request].turn = value.turn;
-    std::erase_if(value.crashes,
-                  [](const auto& one) { return one.second.engines.empty(); });
-    while (value.crashes.size() > max_crashes)
-        value.crashes.erase(
-            std::min_element(value.crashes.begin(), value.crashes.end(),
-                             [](const auto& left, const auto& right) {
-                                 return left.second.turn < right.second.turn;
-                             }));
-}
-
-/** @return A cell's part of a budget after what it gave and was given. */
-token_count pool_of(const ledger_account& account, token_count prepaid)
-{
-    for (const auto& [cell, tokens] : account.received)
-        prepaid += tokens;
-    for (const auto& [cell, tokens] : account.given)
-        prepaid -= tokens;
-    return prepaid;
-}
-
 /** Sums over an account's shares. */
 struct account_sums
 {
@@ -157,11 +120,10 @@
 }
 
 void renew_share(ledger_account& account, const ledger_renewal& wish,
-                 const wallet_usage& usage, token_count part_prepaid,
+                 const wallet_usage& usage, token_count prepaid,
                  std::size_t vms)
 {
     const auto& policy = wish.policy;
-    const auto prepaid = pool_of(account, part_prepaid);
     const bool unseen =
         !policy.hold_unseen && usage.largest == 0 && usage.spent == 0;
     auto& own = account.shares[wish.self];
@@ -213,40 +175,15 @@
     auto& next = result.next;
     result.closings = fold_ended(next, wish);
     sign(next, wish);
-    write_crashes(next, wish);
     for (const auto& [customer, prepaid] : wish.prepaid) {
         const auto known = wish.usage.find(customer);
         renew_share(next.accounts[customer], wish,
                     known == wish.usage.end() ? wallet_usage{} : known->second,
-                    prepaid, vms_in(next));
+                    prepaid, std::max(vms_in(next), wish.policy.least_vms));
     }
     return result;
 }
 
-void receive(ledger& value, const cell_gifts& gifts)
-{
-    for (const auto& [customer, cells] : gifts)
-        for (const auto& [cell, tokens] : cells) {
-            auto& taken = value.accounts[customer].received[cell];
-            taken = std::max(taken, tokens);
-        }
-}
-
-std::optional<ledger> give(const ledger& now, const customer_id& customer,
-                           const cell_id& to, token_count prepaid,
-                           token_count least)
-{
-    auto next = now;
-    auto& account = next.accounts[customer];
-    const auto free = pool_of(account, prepaid) - account.closed -
-                      sum_up(account, {}).others_granted;
-    if (free < least)
-        return std::nullopt;
-    ++next.turn;
-    account.given[to] += std::max(least, free / 2);
-    return next;
-}
-
 ledger close_run(const ledger& now, const instance_id& self,
                  const std::map<customer_id, token_count>& spent)
 {
@@ -271,7 +208,7 @@
     const auto found = now.accounts.find(customer);
     if (found == now.accounts.end())
         return prepaid;
-    return pool_of(found->second, prepaid) - sum_up(found->second, {}).spent;
+    return prepaid - sum_up(found->second, {}).spent;
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -26,8 +26,10 @@
     double slope_factor = 1.5;  ///< Opening against the rate.
     double spread_share = 0.85; ///< Of what is left, divided by demand.
     /** Customers without traffic hold a request, and a part of what is left,
-     *  on each VM. Off where cells can give each other what is free. */
+     *  on each VM. Off where there are too many VMs for that. */
     bool hold_unseen = true;
+    /** Least number of VMs that a customer's unknown demand is divided by. */
+    std::size_t least_vms = 1;
     token_count request = 9'000; ///< A usual one, where none has been seen.
 };
 
@@ -47,8 +49,6 @@
     std::map<customer_id, token_count> prepaid; ///< From the configuration.
     std::set<instance_id> silent; ///< Runs that have long stopped writing.
     std::deque<own_write> own_writes;
-    /** Engines that went down with a request, as seen on this VM. */
-    std::map<request_fingerprint, std::set<server_id>> crashes;
     ledger_policy policy;
 };
 
@@ -89,21 +89,6 @@
                                         const ledger_renewal& wish,
                                         const instance_id& run);
 
-/** What a cell has been given by others, by customer and giving cell. */
-using cell_gifts = std::map<customer_id, std::map<cell_id, token_count>>;
-
-/** Takes in what other cells have given; amounts only grow. */
-void receive(ledger& value, const cell_gifts& gifts);
-
-/**
- * Gives another cell half of what no run of this one holds.
- * @param prepaid This cell's part of the budget.
- * @return The ledger to be written, or none if less than @p least is free.
- */
-std::optional<ledger> give(const ledger& now, const customer_id& customer,
-                           const cell_id& to, token_count prepaid,
-                           token_count least);
-
 /** Ends a run: its charges are closed and its headroom returns. */
 ledger close_run(const ledger& now, const instance_id& self,
                  const std::map<customer_id, token_count>& spent);
--- a/packages/ledger/ledger_json_func.cpp
+++ b/packages/ledger/ledger_json_func.cpp
@@ -49,47 +49,27 @@
 }
 
 ROSEMARYDECK_JSON(ledger_mark, turn, wall_ms)
-ROSEMARYDECK_JSON(ledger_member, vm, address, beat, turn, first_turn, wall_ms,
-                  boot_ms, boot, marks, closed)
+ROSEMARYDECK_JSON(ledger_member, vm, beat, turn, first_turn, wall_ms, boot_ms,
+                  boot, marks, closed)
 
-ROSEMARYDECK_JSON(ledger_layout, cells)
+ROSEMARYDECK_JSON(ledger_layout, parts)
 
 void to_json(nlohmann::json& json, const ledger_account& value)
 {
     json = {{"closed", value.closed}, {"shares", object_of(value.shares)}};
-    if (!value.given.empty())
-        json["given"] = object_of(value.given);
-    if (!value.received.empty())
-        json["received"] = object_of(value.received);
 }
 
 void from_json(const nlohmann::json& json, ledger_account& value)
 {
     json.at("closed").get_to(value.closed);
     read_object(json.at("shares"), value.shares);
-    if (json.contains("given"))
-        read_object(json.at("given"), value.given);
-    if (json.contains("received"))
-        read_object(json.at("received"), value.received);
-}
-
-void to_json(nlohmann::json& json, const ledger_crash& value)
-{
-    json = {{"turn", value.turn}, {"engines", object_of(value.engines)}};
-}
-
-void from_json(const nlohmann::json& json, ledger_crash& value)
-{
-    json.at("turn").get_to(value.turn);
-    read_object(json.at("engines"), value.engines);
 }
 
 void to_json(nlohmann::json& json, const ledger& value)
 {
     json = {{"turn", value.turn},
             {"members", object_of(value.members)},
-            {"accounts", object_of(value.accounts)},
-            {"crashes", object_of(value.crashes)}};
+            {"accounts", object_of(value.accounts)}};
 }
 
 void from_json(const nlohmann::json& json, ledger& value)
@@ -97,7 +77,6 @@
     json.at("turn").get_to(value.turn);
     read_object(json.at("members"), value.members);
     read_object(json.at("accounts"), value.accounts);
-    read_object(json.at("crashes"), value.crashes);
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_keeper_base.cpp
+++ b/packages/ledger/ledger_keeper_base.cpp
@@ -25,16 +25,14 @@
     return found == offsets_.end() ? 0 : found->second;
 }
 
-std::map<customer_id, wallet_usage> ledger_keeper::usage(time_point now)
-{
-    auto result = purse_.read(now);
-    for (auto& [customer, used] : result) {
-        const auto total = used.spent + used.reserved;
-        used.spent = std::max<token_count>(0, used.spent - offset(customer));
-        used.reserved =
-            std::max<token_count>(0, total - offset(customer) - used.spent);
-    }
-    return result;
+wallet_usage ledger_keeper::usage(const customer_id& customer, time_point now)
+{
+    auto used = purse_.read(customer, now);
+    const auto total = used.spent + used.reserved;
+    used.spent = std::max<token_count>(0, used.spent - offset(customer));
+    used.reserved =
+        std::max<token_count>(0, total - offset(customer) - used.spent);
+    return used;
 }
 
 ledger_write
@@ -51,15 +49,13 @@
     wish.prepaid = prepaid;
     wish.policy = options_.policy;
     wish.own_writes = own_writes_;
-    wish.crashes = crashes_;
-    wish.usage = usage(clock.now);
+    for (const auto& [customer, total] : prepaid)
+        wish.usage[customer] = usage(customer, clock.now);
     for (const auto& [run, seen] : sightings_)
         if (clock.now - seen.seen > options_.silent_after)
             wish.silent.insert(run);
     short_.clear();
-    auto before = current_;
-    receive(before, gifts_);
-    auto renewed = renew(before, wish);
+    auto renewed = renew(current_, wish);
     auto& next = renewed.next;
     for (const auto& [customer, total] : prepaid) {
         auto& shares = next.accounts[customer].shares;
@@ -70,9 +66,8 @@
         wallet_terms terms{share, clock.now, offset(customer)};
         purse_.propose(customer, terms);
         share = terms.share;
-        const auto used = wish.usage.find(customer);
-        if (used != wish.usage.end() &&
-            share.granted - share.spent - share.held < used->second.missing)
+        if (share.granted - share.spent - share.held <
+            wish.usage.at(customer).missing)
             short_.push_back(customer);
     }
     sent_.push_back({member.beat, clock.now});
@@ -86,7 +81,8 @@
 ledger_write ledger_keeper::prepare_close(const clock_reading& clock)
 {
     std::map<customer_id, token_count> spent;
-    for (const auto& [customer, used] : usage(clock.now)) {
+    for (const auto& [customer, account] : current_.accounts) {
+        const auto used = usage(customer, clock.now);
         // Nothing more may be reserved, whatever becomes of this write.
         wallet_terms none{{}, clock.now, offset(customer)};
         none.share.spent = used.spent;
@@ -202,13 +198,4 @@
     return static_cast<std::uint32_t>(vms.size());
 }
 
-std::vector<ledger_member> ledger_keeper::others() const
-{
-    std::vector<ledger_member> result;
-    for (const auto& [run, member] : current_.members)
-        if (!member.closed && member.vm != options_.member.vm)
-            result.push_back(member);
-    return result;
-}
-
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_keeper_base.hpp
+++ b/packages/ledger/ledger_keeper_base.hpp
@@ -48,20 +48,6 @@
     /** @param prepaid Of each customer with a budget. @return The write. */
     ledger_write prepare(const std::map<customer_id, token_count>& prepaid,
                          const clock_reading& clock);
-    /** Sets what the next writes say of crashes seen on this VM. */
-    void set_crashes(std::map<request_fingerprint, std::set<server_id>> seen)
-    {
-        crashes_ = std::move(seen);
-    }
-    /** Takes in, with the next write, what other cells have given. */
-    void receive_later(const customer_id& customer, const cell_id& from,
-                       token_count given)
-    {
-        auto& known = gifts_[customer][from];
-        known = std::max(known, given);
-    }
-    /** Whether customers without traffic here hold headroom. */
-    void hold_unseen(bool hold) { options_.policy.hold_unseen = hold; }
     /** @return The write that ends this run. No request may be in flight. */
     ledger_write prepare_close(const clock_reading& clock);
     /** The prepared write was done. @param revision The ledger's new one. */
@@ -73,10 +59,8 @@
     /** The prepared write has no answer, or was turned away. */
     void unanswered();
 
-    /** @return VMs that may be serving, this one included. */
+    /** @return VMs that may draw on this ledger, this one included. */
     [[nodiscard]] std::uint32_t live_vms() const;
-    /** @return Members on other VMs, as last known. */
-    [[nodiscard]] std::vector<ledger_member> others() const;
     /** @return True once a write of this run is in the ledger. */
     [[nodiscard]] bool joined() const { return joined_; }
     /** @return Customers whose missing tokens the last write did not cover. */
@@ -109,7 +93,8 @@
     void start_over();
     void note_sightings(time_point now);
     [[nodiscard]] token_count offset(const customer_id& customer) const;
-    [[nodiscard]] std::map<customer_id, wallet_usage> usage(time_point now);
+    [[nodiscard]] wallet_usage usage(const customer_id& customer,
+                                     time_point now);
 
     ledger_keeper_options options_;
     wallet& purse_;
@@ -123,8 +108,6 @@
     /** Spending of this run that others have closed. */
     std::map<customer_id, token_count> offsets_;
     std::vector<customer_id> short_;
-    cell_gifts gifts_;
-    std::map<request_fingerprint, std::set<server_id>> crashes_;
     bool joined_ = false;
     bool fresh_ = false;
 };
--- a/packages/ledger/ledger_layout_func.cpp
+++ b/packages/ledger/ledger_layout_func.cpp
@@ -1,9 +1,10 @@
-/** @file ledger_layout_func.cpp Which VMs share a ledger, and of what. */
+/** @file ledger_layout_func.cpp Which customers share a ledger. */
 #include "ledger/ledger_layout_func.hpp"
 
 #include "common/hash_func.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace rosemarydeck
 {
@@ -11,40 +12,44 @@
 namespace
 {
 
-/** A deployment with so many writes a second has one cell of some 10 VMs. */
-constexpr std::uint32_t first_cell_writes = 400;
-/** Each further cell stands for so many, as measured with 85 VMs. */
-constexpr std::uint32_t further_cell_writes = 130;
+/** Up to so many writes a second a deployment has some 10 VMs, and they share
+ *  one ledger. */
+constexpr std::uint32_t one_ledger_writes = 400;
+/** Beyond that, enough for nearly each customer to have one of its own. */
+constexpr std::uint32_t many_parts = 65'536;
+
+constexpr std::string_view part_prefix = "part-";
 
 } // namespace
 
 ledger_layout layout_for(std::uint32_t store_writes_per_s)
 {
-    const auto beyond = store_writes_per_s > first_cell_writes
-                            ? store_writes_per_s - first_cell_writes
-                            : 0;
-    return {1 + beyond / further_cell_writes};
+    return {store_writes_per_s <= one_ledger_writes ? 1 : many_parts};
 }
 
-std::uint32_t cell_of(const ledger_layout& layout, const vm_id& vm)
+std::uint32_t part_of(const ledger_layout& layout, const customer_id& customer)
 {
-    return static_cast<std::uint32_t>(stable_hash(vm.value()) %
-                                      std::max<std::uint32_t>(1, layout.cells));
+    return static_cast<std::uint32_t>(stable_hash(customer.value()) %
+                                      std::max<std::uint32_t>(1, layout.parts));
 }
 
-cell_id name_of_cell(std::uint32_t cell)
+std::string name_of_part(std::uint32_t part)
 {
-    return cell_id("cell-" + std::to_string(cell));
+    return std::string(part_prefix) + std::to_string(part);
 }
 
-token_count cell_part(const ledger_layout& layout, std::uint32_t cell,
-                      token_count prepaid)
+std::optional<std::uint32_t> part_named(const ledger_layout& layout,
+                                        const std::string& name)
 {
-    const auto cells =
-        static_cast<token_count>(std::max<std::uint32_t>(1, layout.cells));
-    // The first cells take one more token of what can't be divided.
-    return prepaid / cells +
-           (static_cast<token_count>(cell) < prepaid % cells ? 1 : 0);
+    if (!name.starts_with(part_prefix))
+        return std::nullopt;
+    std::uint32_t part = 0;
+    const auto* const begin = name.data() + part_prefix.size();
+    const auto* const end = name.data() + name.size();
+    const auto read = std::from_chars(begin, end, part);
+    if (read.ec != std::errc{} || read.ptr != end || part >= layout.parts)
+        return std::nullopt;
+    return part;
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_layout_func.hpp
+++ b/packages/ledger/ledger_layout_func.hpp
@@ -1,8 +1,10 @@
-/** @file ledger_layout_func.hpp Which VMs share a ledger, and of what. */
+/** @file ledger_layout_func.hpp Which customers share a ledger. */
 #pragma once
 
 #include "ledger/ledger_type.hpp"
 
+#include <optional>
+
 namespace rosemarydeck
 {
 
@@ -13,14 +15,14 @@
  */
 ledger_layout layout_for(std::uint32_t store_writes_per_s);
 
-/** @return The cell of a VM, from 0. */
-std::uint32_t cell_of(const ledger_layout& layout, const vm_id& vm);
+/** @return The ledger that holds a customer's account, from 0. */
+std::uint32_t part_of(const ledger_layout& layout, const customer_id& customer);
 
-/** @return The name of a cell's ledger. */
-cell_id name_of_cell(std::uint32_t cell);
+/** @return The name of a ledger in the store. */
+std::string name_of_part(std::uint32_t part);
 
-/** @return A cell's part of a budget; the parts never exceed it in sum. */
-token_count cell_part(const ledger_layout& layout, std::uint32_t cell,
-                      token_count prepaid);
+/** @return The ledger with that name, or none. */
+std::optional<std::uint32_t> part_named(const ledger_layout& layout,
+                                        const std::string& name);
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_type.hpp
+++ b/packages/ledger/ledger_type.hpp
@@ -35,11 +35,6 @@
 {
     token_count closed = 0; ///< Charged by runs that are over.
     std::map<instance_id, ledger_share> shares;
-    /** All that other cells were ever given of this cell's part. */
-    std::map<cell_id, token_count> given;
-    /** Of what other cells have given, all that was ever taken in here. It
-     *  follows their given amounts, which never shrink. */
-    std::map<cell_id, token_count> received;
 
     bool operator==(const ledger_account&) const = default;
 };
@@ -57,7 +52,6 @@
 struct ledger_member
 {
     vm_id vm;
-    std::string address;            ///< IP:PORT where other VMs reach it.
     std::uint64_t beat = 0;         ///< Its writes so far.
     std::uint64_t turn = 0;         ///< The ledger's turn of its last write.
     std::uint64_t first_turn = 0;   ///< The ledger's turn of its first write.
@@ -71,45 +65,35 @@
     bool operator==(const ledger_member&) const = default;
 };
 
-/** A request that was at engines when they went down. */
-struct ledger_crash
-{
-    std::uint64_t turn = 0;             ///< Of the last change.
-    std::map<server_id, vm_id> engines; ///< And the VM that saw each.
-
-    bool operator==(const ledger_crash&) const = default;
-};
-
 /**
- * How VMs are divided into cells, each with a ledger and an equal part of
- * every budget. Written once by the first VM and never changed, since VMs that
- * disagreed on it would grant a budget twice.
+ * Into how many ledgers the customers are divided. Written once by the first
+ * VM and never changed, since VMs that disagreed on it would grant a budget
+ * twice.
  */
 struct ledger_layout
 {
-    std::uint32_t cells = 1;
+    std::uint32_t parts = 1;
 
     bool operator==(const ledger_layout&) const = default;
 };
 
 /**
- * The shared object in the platform's store. Only conditional writes change
- * it, so for each customer the granted amounts and closed charges never add up
- * to more than the prepaid total that a writer knew.
+ * A shared object in the platform's store, with the accounts of some
+ * customers and the runs that have drawn on them. Only conditional writes
+ * change it, so for each customer the granted amounts and closed charges never
+ * add up to more than the prepaid total that a writer knew.
  */
 struct ledger
 {
     std::uint64_t turn = 0; ///< Grows by one with each write.
     std::map<instance_id, ledger_member> members;
     std::map<customer_id, ledger_account> accounts;
-    std::map<request_fingerprint, ledger_crash> crashes;
 
     bool operator==(const ledger&) const = default;
 };
 
 ROSEMARYDECK_JSON_DECLARE(ledger_share);
 ROSEMARYDECK_JSON_DECLARE(ledger_account);
-ROSEMARYDECK_JSON_DECLARE(ledger_crash);
 ROSEMARYDECK_JSON_DECLARE(ledger_mark);
 ROSEMARYDECK_JSON_DECLARE(ledger_member);
 ROSEMARYDECK_JSON_DECLARE(ledger_layout);
--- a/packages/ledger/test/ledger_test.cpp
+++ b/packages/ledger/test/ledger_test.cpp
@@ -285,68 +285,73 @@
     CHECK_FALSE(vm.purse.reserve(acme, 1, at(1s).now));
 }
 
-TEST_CASE("Crashes that VMs have seen are shared and withdrawn", "[keeper]")
+TEST_CASE("Customers are divided over ledgers", "[layout]")
 {
-    const request_fingerprint bad("f1");
-    lone_vm first(options_of("a"));
-    first.keeper.set_crashes({{bad, {server_id("e1")}}});
-    first.renew(50'000, 0ms);
+    CHECK(layout_for(400).parts == 1);
+    CHECK(layout_for(0).parts == 1);
+    const auto layout = layout_for(1'200);
+    CHECK(layout.parts > 24);
+    std::set<std::uint32_t> used;
+    for (int number = 0; number < 24; ++number) {
+        const customer_id customer("customer-" + std::to_string(number));
+        const auto part = part_of(layout, customer);
+        CHECK(part < layout.parts);
+        CHECK(part_named(layout, name_of_part(part)) == part);
+        used.insert(part);
+    }
+    CHECK(used.size() == 24);
+    for (const auto* name : {"layout", "part-", "part-x", "part-1x", "part--1",
+                             "part-65536", "part-99999999999999999999"})
+        CHECK_FALSE(part_named(layout, name));
+}
+
+TEST_CASE("A ledger's renewal leaves the wants of other ledgers alone",
+          "[keeper]")
+{
+    const customer_id other("other");
     wallet purse;
-    ledger_keeper second(options_of("b"), purse);
-    second.refreshed(first.keeper.current(), 2, at(0ms).now);
-    second.set_crashes({{bad, {server_id("e1"), server_id("e2")}}});
-    auto next = second.prepare({}, at(0ms)).next;
-    CHECK(next.crashes.at(bad).engines ==
-          std::map<server_id, vm_id>{{server_id("e1"), vm_id("a")},
-                                     {server_id("e2"), vm_id("b")}});
-    second.set_crashes({});
-    next = second.prepare({}, at(1ms)).next;
-    CHECK(next.crashes.at(bad).engines.size() == 1);
+    ledger_keeper first(options_of("a"), purse);
+    ledger_keeper second(options_of("a"), purse);
+    first.refreshed(std::nullopt, 0, at(0ms).now);
+    second.refreshed(std::nullopt, 0, at(0ms).now);
+    REQUIRE_FALSE(purse.reserve(other, 30'000, at(0ms).now));
+    const auto written = first.prepare({{acme, 100'000}}, at(1ms)).next;
+    CHECK(written.accounts.count(other) == 0);
+    first.written(2, at(1ms).now);
+    second.prepare({{other, 100'000}}, at(2ms));
+    second.written(3, at(2ms).now);
+    CHECK(purse.reserve(other, 30'000, at(3ms).now));
+    CHECK_FALSE(purse.reserve(other, 100'000, at(3ms).now));
 }
 
-TEST_CASE("Cells divide VMs and budgets", "[layout]")
+TEST_CASE("A customer's first VM leaves something for the next", "[keeper]")
 {
-    CHECK(layout_for(400).cells == 1);
-    CHECK(layout_for(1'200).cells == 7);
-    CHECK(layout_for(0).cells == 1);
-    const ledger_layout layout{7};
-    token_count sum = 0;
-    std::set<std::uint32_t> used;
-    for (std::uint32_t cell = 0; cell < layout.cells; ++cell)
-        sum += cell_part(layout, cell, 1'000'003);
-    CHECK(sum == 1'000'003);
-    for (int vm = 0; vm < 85; ++vm)
-        used.insert(cell_of(layout, vm_id("edge-" + std::to_string(vm))));
-    CHECK(used.size() == 7);
+    auto options = options_of("a");
+    options.policy.hold_unseen = false;
+    options.policy.least_vms = 8;
+    lone_vm vm(options);
+    vm.renew(1'000'000, 0ms);
+    CHECK(vm.keeper.current().accounts.at(acme).shares.empty());
+    REQUIRE_FALSE(vm.purse.reserve(acme, 9'000, at(1ms).now));
+    vm.renew(1'000'000, 1ms);
+    CHECK(vm.purse.reserve(acme, 9'000, at(2ms).now));
+    CHECK(share_of(vm.keeper.current(), "a.1").granted <= 1'000'000 / 8);
 }
 
-TEST_CASE("Cells give each other what is free, once", "[layout]")
+TEST_CASE("Tokens that another VM takes are spent at once", "[wallet]")
 {
-    const cell_id a("cell-0");
-    const cell_id b("cell-1");
-    lone_vm donor(options_of("a"));
-    donor.keeper.hold_unseen(false);
-    donor.renew(100'000, 0ms);
-    const auto given = give(donor.keeper.current(), acme, b, 100'000, 30'000);
-    REQUIRE(given);
-    const auto amount = given->accounts.at(acme).given.at(b);
-    CHECK(amount == 50'000);
-    CHECK_FALSE(give(*given, acme, b, 100'000, 60'000));
-    // The giver can't spend it any more; the taker can, and only once.
-    donor.keeper.refreshed(*given, 5, at(1ms).now);
-    REQUIRE_FALSE(donor.purse.reserve(acme, 70'000, at(1ms).now));
-    CHECK(share_of(donor.keeper.prepare({{acme, 100'000}}, at(2ms)).next, "a.1")
-              .granted <= 50'000);
-    lone_vm taker(options_of("b"));
-    taker.keeper.hold_unseen(false);
-    REQUIRE_FALSE(taker.purse.reserve(acme, 140'000, at(0ms).now));
-    taker.keeper.receive_later(acme, a, amount);
-    taker.keeper.receive_later(acme, a, amount);
-    taker.renew(100'000, 1ms);
-    taker.renew(100'000, 2ms);
-    CHECK(share_of(taker.keeper.current(), "b.1").granted <= 150'000);
-    CHECK(unspent(taker.keeper.current(), acme, 100'000) == 150'000);
-    CHECK(unspent(*given, acme, 100'000) == 50'000);
+    lone_vm vm(options_of("a"));
+    vm.renew(1'000'000, 0ms);
+    const auto all = vm.purse.headroom(acme, at(9s).now);
+    CHECK(vm.purse.take(acme, 10'000, 0, at(9s).now) == 10'000);
+    CHECK(vm.purse.take(acme, 0, all, at(9s).now) == (all - 10'000) / 16);
+    CHECK(vm.purse.take(acme, all, all, at(9s).now) == 0);
+    const auto spent = 10'000 + (all - 10'000) / 16;
+    CHECK(vm.purse.headroom(acme, at(9s).now) == all - spent);
+    // What was asked for in vain calls for more with the next renewal.
+    vm.renew(1'000'000, 9s);
+    CHECK(share_of(vm.keeper.current(), "a.1").spent == spent);
+    CHECK(vm.purse.take(acme, all, 0, at(9s).now) == all);
 }
 
 TEST_CASE("A ledger survives its JSON form", "[json]")
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -18,6 +18,8 @@
 constexpr auto least_rate_span = std::chrono::milliseconds(500);
 /** Part of the largest reservation that is forgotten at each reading. */
 constexpr double largest_decay = 0.1;
+/** Of the headroom, another VM gets at most one in so many ahead of need. */
+constexpr token_count ahead_divisor = 16;
 
 } // namespace
 
@@ -49,6 +51,26 @@
     return true;
 }
 
+token_count wallet::take(const customer_id& customer, token_count least,
+                         token_count wish, time_point now)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto& known = entries_[customer];
+    auto& usage = known.usage;
+    usage.largest = std::max(usage.largest, least);
+    if (known.first_seen == time_point{})
+        known.first_seen = now;
+    const auto headroom = known.limit(now) - usage.spent - usage.reserved;
+    if (headroom < least) {
+        usage.missing = std::max(usage.missing, least);
+        return 0;
+    }
+    const auto ahead = std::min(wish, headroom / ahead_divisor);
+    const auto taken = std::max({least, ahead, token_count{0}});
+    usage.spent += taken;
+    return taken;
+}
+
 void wallet::settle(const customer_id& customer, token_count reserved,
                     token_count used)
 {
@@ -58,34 +80,31 @@
     usage.spent += std::clamp<token_count>(used, 0, reserved);
 }
 
-std::map<customer_id, wallet_usage> wallet::read(time_point now)
+wallet_usage wallet::read(const customer_id& customer, time_point now)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    std::map<customer_id, wallet_usage> result;
-    for (auto& [customer, known] : entries_) {
-        auto& usage = known.usage;
-        const auto span = now - known.rated_at;
-        if (known.rated_at == time_point{}) {
-            known.rated_at = now;
-            known.rated_spent = usage.spent;
-        }
-        else if (span >= least_rate_span) {
-            const auto rate =
-                static_cast<double>(usage.spent - known.rated_spent) /
-                std::chrono::duration<double>(span).count();
-            const auto weight = rate > usage.rate ? rise_weight : fall_weight;
-            usage.rate += weight * (rate - usage.rate);
-            known.rated_at = now;
-            known.rated_spent = usage.spent;
-        }
-        if (known.first_seen != time_point{})
-            usage.history =
-                std::chrono::duration<double>(now - known.first_seen).count();
-        result[customer] = usage;
-        usage.missing = 0;
-        usage.largest -= static_cast<token_count>(
-            static_cast<double>(usage.largest) * largest_decay);
+    auto& known = entries_[customer];
+    auto& usage = known.usage;
+    const auto span = now - known.rated_at;
+    if (known.rated_at == time_point{}) {
+        known.rated_at = now;
+        known.rated_spent = usage.spent;
+    }
+    else if (span >= least_rate_span) {
+        const auto rate = static_cast<double>(usage.spent - known.rated_spent) /
+                          std::chrono::duration<double>(span).count();
+        const auto weight = rate > usage.rate ? rise_weight : fall_weight;
+        usage.rate += weight * (rate - usage.rate);
+        known.rated_at = now;
+        known.rated_spent = usage.spent;
     }
+    if (known.first_seen != time_point{})
+        usage.history =
+            std::chrono::duration<double>(now - known.first_seen).count();
+    const auto result = usage;
+    usage.missing = 0;
+    usage.largest -= static_cast<token_count>(
+        static_cast<double>(usage.largest) * largest_decay);
     return result;
 }
 
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -49,8 +49,15 @@
     void settle(const customer_id& customer, token_count reserved,
                 token_count used);
 
-    /** @return Usage of each customer seen. Clears what was missing. */
-    std::map<customer_id, wallet_usage> read(time_point now);
+    /**
+     * Charges tokens that another VM is to use. Ahead of need it gets a small
+     * part of what is left here, since others will ask too.
+     * @return Their amount; 0 if @p least aren't there.
+     */
+    token_count take(const customer_id& customer, token_count least,
+                     token_count wish, time_point now);
+    /** @return Usage of a customer. Clears what was missing. */
+    wallet_usage read(const customer_id& customer, time_point now);
     /** Binds the wallet to a share that is about to be written, besides those
      *  that bind it already. The share takes in what has been reserved since
      *  the wallet was read. */
--- a/packages/peer/peer_socket_base.cpp
+++ b/packages/peer/peer_socket_base.cpp
@@ -43,6 +43,7 @@
 {
     handle at;
     bool outgoing = false;
+    std::string target; ///< IP:PORT of an outgoing one.
 };
 
 } // namespace
@@ -58,7 +59,7 @@
         prepare(server_);
         prepare(client_);
         server_.set_reuse_addr(true);
-        server_.set_open_handler([this](handle at) { on_open(at, false); });
+        server_.set_open_handler([this](handle at) { on_open(at, false, ""); });
         server_.set_close_handler([this](handle at) { on_close(at); });
     }
 
@@ -86,6 +87,14 @@
             connect(target, 0);
     }
 
+    void forget(const dial_target& target) { targets_.erase(target); }
+
+    std::string target(socket_number of) const
+    {
+        const auto found = sockets_.find(of);
+        return found == sockets_.end() ? "" : found->second.target;
+    }
+
     bool send(socket_number to, bool binary, const std::string& bytes)
     {
         const auto found = sockets_.find(to);
@@ -185,9 +194,10 @@
         const auto again = [this, target, tries_now] {
             redial(target, ++*tries_now);
         };
-        connection->set_open_handler([this, tries_now](handle at) {
+        connection->set_open_handler([this, tries_now, target](handle at) {
             *tries_now = 0;
-            on_open(at, true);
+            on_open(at, true,
+                    target.address + ":" + std::to_string(target.port));
         });
         connection->set_fail_handler([again](handle) { again(); });
         connection->set_close_handler([this, again](handle at) {
@@ -199,7 +209,7 @@
 
     void redial(const dial_target& target, unsigned tries)
     {
-        if (stopped_)
+        if (stopped_ || targets_.count(target) == 0)
             return;
         const auto doublings = std::min(tries - 1, max_doublings);
         const auto full = std::min(options_.reconnect_ms << doublings,
@@ -210,15 +220,15 @@
         timers_.insert(timer);
         timer->async_wait([this, target, tries, timer](const auto& fault) {
             timers_.erase(timer);
-            if (!fault && !stopped_)
+            if (!fault && !stopped_ && targets_.count(target) != 0)
                 connect(target, tries);
         });
     }
 
-    void on_open(const handle& at, bool outgoing)
+    void on_open(const handle& at, bool outgoing, std::string target)
     {
         const auto number = ++last_number_;
-        sockets_[number] = {at, outgoing};
+        sockets_[number] = {at, outgoing, std::move(target)};
         numbers_[at] = number;
         handlers_.opened(number, outgoing);
     }
@@ -269,6 +279,16 @@
     implementation_->dial({address, port});
 }
 
+void peer_socket::forget(const std::string& address, std::uint16_t port)
+{
+    implementation_->forget({address, port});
+}
+
+std::string peer_socket::target(socket_number of) const
+{
+    return implementation_->target(of);
+}
+
 bool peer_socket::send(socket_number to, bool binary, const std::string& bytes)
 {
     return implementation_->send(to, binary, bytes);
--- a/packages/peer/peer_socket_base.hpp
+++ b/packages/peer/peer_socket_base.hpp
@@ -54,8 +54,12 @@
      */
     std::uint16_t listen(const std::string& address, std::uint16_t port,
                          std::string& fault);
-    /** Keeps a connection to an address, retrying until stop(). */
+    /** Keeps a connection to an address, retrying until forget() or stop(). */
     void dial(const std::string& address, std::uint16_t port);
+    /** Dials an address no more; a connection to it stays until it ends. */
+    void forget(const std::string& address, std::uint16_t port);
+    /** @return IP:PORT that was dialled for a connection; empty if none. */
+    [[nodiscard]] std::string target(socket_number of) const;
     /** Sends a message. @return False if the connection is not open. */
     bool send(socket_number to, bool binary, const std::string& bytes);
     /** @return Bytes that wait to be sent. */
--- a/packages/router/crash_record_base.cpp
+++ b/packages/router/crash_record_base.cpp
@@ -37,9 +37,10 @@
     own_.erase(request);
 }
 
-void crash_record::take_others(crashed_engines seen)
+void crash_record::take_others(const vm_id& vm, crashed_engines seen,
+                               time_point now)
 {
-    others_ = std::move(seen);
+    others_[vm] = {std::move(seen), now};
 }
 
 crashed_engines crash_record::own(time_point now)
@@ -59,8 +60,13 @@
 std::set<request_fingerprint> crash_record::blocked(time_point now)
 {
     auto seen = own(now);
-    for (const auto& [request, engines] : others_)
-        seen[request].insert(engines.begin(), engines.end());
+    // A VM that is gone no longer withdraws what it saw.
+    std::erase_if(others_, [&](const auto& one) {
+        return one.second.heard + options_.memory <= now;
+    });
+    for (const auto& [vm, told] : others_)
+        for (const auto& [request, engines] : told.seen)
+            seen[request].insert(engines.begin(), engines.end());
     std::set<request_fingerprint> result;
     for (const auto& [request, engines] : seen)
         if (engines.size() >= options_.limit)
--- a/packages/router/crash_record_base.hpp
+++ b/packages/router/crash_record_base.hpp
@@ -2,6 +2,7 @@
  */
 #pragma once
 
+#include "common/json_type.hpp"
 #include "common/time_type.hpp"
 #include "router/fleet_type.hpp"
 
@@ -24,6 +25,16 @@
 /** Engines that went down while they had a request. */
 using crashed_engines = std::map<request_fingerprint, std::set<server_id>>;
 
+/** What one VM has seen, as it tells the others. */
+struct vm_crashes
+{
+    crashed_engines requests;
+
+    bool operator==(const vm_crashes&) const = default;
+};
+
+ROSEMARYDECK_JSON_DECLARE(vm_crashes);
+
 /**
  * Counts engines that went down with a request, as seen on this VM and told
  * by others. Requests that ran beside it are cleared when they are served.
@@ -38,8 +49,8 @@
               time_point now);
     /** Forgets what this VM saw of a request that was served. */
     void clear(const request_fingerprint& request);
-    /** Replaces what the other VMs have seen. */
-    void take_others(crashed_engines seen);
+    /** Replaces what another VM has seen. */
+    void take_others(const vm_id& vm, crashed_engines seen, time_point now);
 
     /** @return What this VM has seen within the memory. */
     [[nodiscard]] crashed_engines own(time_point now);
@@ -47,9 +58,15 @@
     [[nodiscard]] std::set<request_fingerprint> blocked(time_point now);
 
 private:
+    struct report
+    {
+        crashed_engines seen;
+        time_point heard{};
+    };
+
     crash_options options_;
     std::map<request_fingerprint, std::map<server_id, time_point>> own_;
-    crashed_engines others_;
+    std::map<vm_id, report> others_;
 };
 
 } // namespace rosemarydeck
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -173,8 +173,8 @@
 {
     std::shared_ptr<const config_index> config;
     std::map<service_id, std::vector<engine_info>> engines; ///< Sorted by id.
-    std::uint32_t live_vms = 1;            ///< Of the fleet, this one included.
-    std::set<request_fingerprint> blocked; ///< They crash engines.
+    std::uint32_t live_vms = 0; ///< Of the fleet, with this one; 0: unknown.
+    std::set<request_fingerprint> blocked;   ///< They crash engines.
     std::set<request_fingerprint> suspected; ///< Seen at a crash by this VM.
 };
 
--- a/packages/router/retry_budget_base.cpp
+++ b/packages/router/retry_budget_base.cpp
@@ -29,10 +29,10 @@
     auto& used = windows_[service];
     forget(used.requests, now);
     forget(used.repeats, now);
-    const auto vms = std::max<std::uint32_t>(1, live_vms);
+    const auto extra = live_vms == 0 ? 0 : options_.extra / live_vms;
     const auto limit = options_.ratio * ratio_margin *
                            static_cast<double>(used.requests.size()) +
-                       static_cast<double>(options_.extra / vms);
+                       static_cast<double>(extra);
     if (static_cast<double>(used.repeats.size()) + 1 > limit)
         return false;
     used.repeats.push_back(now);
--- /dev/null
+++ b/packages/router/router_json_func.cpp
@@ -0,0 +1,25 @@
+/** @file router_json_func.cpp JSON forms of what VMs tell each other. */
+#include "common/json_func.hpp"
+#include "router/crash_record_base.hpp"
+#include "router/fleet_presence_base.hpp"
+
+namespace rosemarydeck
+{
+
+ROSEMARYDECK_JSON(vm_presence, run, beat, data_centre, address, port)
+
+void to_json(nlohmann::json& json, const vm_crashes& value)
+{
+    json = nlohmann::json::object();
+    for (const auto& [request, engines] : value.requests)
+        json[request.value()] = engines;
+}
+
+void from_json(const nlohmann::json& json, vm_crashes& value)
+{
+    value.requests.clear();
+    for (const auto& [request, engines] : json.items())
+        engines.get_to(value.requests[request_fingerprint(request)]);
+}
+
+} // namespace rosemarydeck
--- a/packages/router/test/router_test.cpp
+++ b/packages/router/test/router_test.cpp
@@ -1,11 +1,13 @@
 /** @file router_test.cpp Routes, engines, places and the retry budget. */
 #include "router/crash_record_base.hpp"
 #include "router/engine_directory_base.hpp"
+#include "router/fleet_presence_base.hpp"
 #include "router/placement_base.hpp"
 #include "router/request_type.hpp"
 #include "router/retry_budget_base.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 using namespace rosemarydeck;
@@ -279,8 +281,11 @@
     record.note(other, server_id("e1"), at(0ms));
     CHECK(record.blocked(at(1s)).empty());
     // Another VM saw one of them too, and a third.
-    record.take_others({{bad, {server_id("e2"), server_id("e3")}},
-                        {other, {server_id("e2")}}});
+    record.take_others(vm_id("b"), {{bad, {server_id("e2")}}}, at(0ms));
+    CHECK(record.blocked(at(1s)).empty());
+    record.take_others(vm_id("c"),
+                       {{bad, {server_id("e3")}}, {other, {server_id("e2")}}},
+                       at(0ms));
     CHECK(record.blocked(at(1s)) == std::set<request_fingerprint>{bad});
     CHECK(record.blocked(at(70s)).empty());
 }
@@ -309,3 +314,74 @@
     CHECK(head.shared_prefix() == "session");
     CHECK(head.shared_tokens() == 130);
 }
+
+TEST_CASE("What a VM saw of crashes is forgotten once the VM is gone",
+          "[crash]")
+{
+    crash_record record;
+    const auto bad = fingerprint_of("GET", "/a/1", "acme", "boom");
+    const std::set<server_id> engines{server_id("e1"), server_id("e2"),
+                                      server_id("e3")};
+    record.take_others(vm_id("b"), {{bad, engines}}, at(0ms));
+    CHECK(record.blocked(at(59s)).count(bad) == 1);
+    CHECK(record.blocked(at(60s)).empty());
+    record.take_others(vm_id("b"), {{bad, engines}}, at(70s));
+    CHECK(record.blocked(at(71s)).count(bad) == 1);
+    record.take_others(vm_id("b"), {}, at(72s));
+    CHECK(record.blocked(at(73s)).empty());
+}
+
+TEST_CASE("A VM counts while its entry changes and until it is known not to",
+          "[presence]")
+{
+    fleet_presence fleet({.self = vm_id("a"), .silent_after = 25s});
+    CHECK(fleet.live_vms(at(0ms)) == 0);
+    const vm_presence first{.run = instance_id("b.1"), .beat = 4};
+    fleet.take({{vm_id("b"), first}}, at(0ms));
+    CHECK(fleet.live_vms(at(25s)) == 2);
+    fleet.take({{vm_id("b"), first}}, at(25s));
+    CHECK(fleet.live_vms(at(26s)) == 1);
+    // A new process of the VM may count as few beats as the one before.
+    fleet.take({{vm_id("b"), {.run = instance_id("b.2"), .beat = 4}}}, at(27s));
+    CHECK(fleet.live_vms(at(28s)) == 2);
+    CHECK(fleet.live(at(28s)).at(vm_id("b")).run == instance_id("b.2"));
+    CHECK(fleet.live(at(60s)).empty());
+    CHECK(fleet.forgotten(at(147s)).empty());
+    CHECK(fleet.forgotten(at(148s)) == std::vector<vm_id>{vm_id("b")});
+    fleet.take({}, at(148s));
+    CHECK(fleet.forgotten(at(300s)).empty());
+    // Its own entry may be missing, or old.
+    fleet.take({{vm_id("a"), {.run = instance_id("a.1"), .beat = 1}}}, at(0ms));
+    CHECK(fleet.live_vms(at(300s)) == 1);
+    CHECK(fleet.forgotten(at(300s)).empty());
+}
+
+TEST_CASE("Without a count of the fleet no VM draws on the shared extra",
+          "[retry]")
+{
+    retry_budget budget({0.2, 56, 10s});
+    CHECK_FALSE(budget.try_repeat(models, 0, at(0ms)));
+    for (int count = 0; count < 10; ++count)
+        budget.on_request(models, at(0ms));
+    CHECK(budget.try_repeat(models, 0, at(1ms)));
+    CHECK_FALSE(budget.try_repeat(models, 0, at(2ms)));
+    CHECK(budget.try_repeat(models, 1, at(3ms)));
+}
+
+TEST_CASE("What VMs tell each other survives its JSON form", "[json]")
+{
+    const vm_presence here{instance_id("a.1"), 7, dc_id("dc1"), "10.1.0.40",
+                           7340};
+    CHECK(
+        nlohmann::json::parse(nlohmann::json(here).dump()).get<vm_presence>() ==
+        here);
+    const vm_crashes seen{
+        {{request_fingerprint("f1"), {server_id("e1"), server_id("e2")}}}};
+    CHECK(
+        nlohmann::json::parse(nlohmann::json(seen).dump()).get<vm_crashes>() ==
+        seen);
+    CHECK_THROWS_AS(nlohmann::json("text").get<vm_crashes>(),
+                    nlohmann::json::exception);
+    CHECK_THROWS_AS(nlohmann::json({{"f1", 4}}).get<vm_crashes>(),
+                    nlohmann::json::exception);
+}
--- a/tests/daemons/gateway_test.py
+++ b/tests/daemons/gateway_test.py
@@ -72,6 +72,7 @@
         self.store = Store()
         self.process = None
         self.starts = 0
+        self.writes_per_s = 400
 
     def tearDown(self):
         if self.process and self.process.poll() is None:
@@ -103,6 +104,7 @@
 budget_window_s = 10
 [provider]
 address = "127.0.0.1:{self.store.port}"
+writes_per_s = {self.writes_per_s}
 ''')
         self.log_path = os.path.join(self.folder, f"log-{self.starts}")
         self.log = open(self.log_path, "wb")
@@ -331,7 +333,7 @@
     # --- budgets ---------------------------------------------------------
 
     def ledger(self):
-        found = self.store.objects.get(("rosemarydeck-ledgers", "cell-0"))
+        found = self.store.objects.get(("rosemarydeck-ledgers", "part-0"))
         return found["spec"]["accounts"].get("acme") if found else None
 
     def spent(self):
@@ -401,6 +403,70 @@
         self.assertEqual(
             Client(self.port).ask("POST", "/look/1", "fine").status, 200)
 
+    def test_a_crash_is_told_to_other_vms_and_heard_from_them(self):
+        def crashes(run):
+            engine.stop()
+            run.reset()
+        engine, = self.serve(crashes, service="plain")
+        Client(self.port).ask("POST", "/look/1", "boom")
+        seen = fleet.wait_until(
+            lambda: self.logged(r"event=crash_seen request=(\w+)"), 20,
+            "the crash is seen").group(1)
+        told = fleet.wait_until(lambda: self.store.objects.get(
+            ("rosemarydeck-crashes", "vm-a")), 20, "the others are told")
+        self.assertEqual(told["spec"], {seen: ["i-0"]})
+        self.store.put("rosemarydeck-crashes", "vm-b", {seen: ["x", "y"]})
+        fleet.wait_until(lambda: self.logged("event=request_blocked"), 20,
+                         "the request is blocked")
+        self.store.put("rosemarydeck-crashes", "vm-c", ["unreadable"])
+        fleet.wait_until(lambda: self.logged("event=crashes_unreadable"), 20,
+                         "the entry is logged")
+        reply = Client(self.port).ask("POST", "/look/1", "boom")
+        self.assertEqual(reply.status, 503)
+        self.assertIn(b"crashes_engines", reply.read())
+
+    def test_vms_that_run_are_counted(self):
+        self.store.put("rosemarydeck-vms", "vm-b", {"run": "b.1", "beat": 4})
+        self.store.put("rosemarydeck-vms", "vm-c", {"beat": "many"})
+        self.serve(self.two_events)
+        size = fleet.wait_until(
+            lambda: self.logged(r"event=fleet_size vms=(\d+)"), 20, "a count")
+        self.assertEqual(size.group(1), "2")
+        self.assertIn(("rosemarydeck-vms", "vm-a"), self.store.objects)
+
+    def test_a_raised_budget_serves_at_once(self):
+        tenant = {"name": "acme", "api_keys": [KEY], "prepaid": 500}
+        self.serve(self.two_events, tenants=[tenant])
+        client = Client(self.port)
+        self.assertEqual(client.chat("300,300").status, 402)
+        self.store.put("config", "main", config(
+            4, tenants=[{**tenant, "prepaid": 100_000}]))
+        fleet.wait_until(lambda: Client(self.port).chat("300,300").status
+                         == 200, 20, "the new budget is used")
+
+    def test_many_vms_keep_a_ledger_for_each_customer_they_serve(self):
+        self.writes_per_s = 1200
+        self.serve(self.two_events)
+
+        def ledgers():
+            return [value["spec"] for (kind, name), value
+                    in self.store.objects.items()
+                    if kind == "rosemarydeck-ledgers" and name != "layout"]
+        self.assertEqual(ledgers(), [])
+        reply = Client(self.port).chat("100,60")
+        self.assertEqual((reply.status, reply.read().count(b"piece")),
+                         (200, 2))
+        ledger, = ledgers()
+        self.assertEqual(list(ledger["accounts"]), ["acme"])
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+        self.start()
+        fleet.wait_until(lambda: self.logged("event=run_closed"), 20,
+                         "the last run is closed before any request comes")
+        ledger, = ledgers()
+        self.assertLess(ledger["accounts"]["acme"]["closed"], 100_000)
+
     # --- the process ------------------------------------------------------
 
     def test_a_drain_finishes_streams_and_returns_headroom(self):
