Report what credit was used, gather engine changes, renew homes each 3 s

And 402 was never given, since a ledger has credit as spent that may come back: clients asked again in vain. Change: 300 ms between answers of the engine watch; homes renew each 3 s; VMs report used credit, shares say what is lent, and 402 follows from what the fleet has consumed for good, against the budget of the VM's own configuration.

--- a/packages/credit/credit_message_func.cpp
+++ b/packages/credit/credit_message_func.cpp
@@ -18,6 +18,7 @@
 constexpr int ask_kind = 1;
 constexpr int gift_kind = 2;
 constexpr int return_kind = 3;
+constexpr int use_kind = 4;
 
 token_count amount(const json& from)
 {
@@ -37,10 +38,13 @@
     case gift_kind:
         return credit_gift{from.at(1).get<std::uint64_t>(),
                            customer_id(from.at(2).get<std::string>()),
-                           amount(from.at(3))};
+                           amount(from.at(3)), amount(from.at(4))};
     case return_kind:
         return credit_return{customer_id(from.at(1).get<std::string>()),
                              amount(from.at(2))};
+    case use_kind:
+        return credit_use{customer_id(from.at(1).get<std::string>()),
+                          amount(from.at(2))};
     default:
         throw std::invalid_argument("the kind of message is unknown");
     }
@@ -58,10 +62,13 @@
             },
             [](const credit_gift& gift) {
                 return json{gift_kind, gift.number, gift.customer.value(),
-                            gift.tokens};
+                            gift.tokens, gift.consumed};
             },
             [](const credit_return& back) {
                 return json{return_kind, back.customer.value(), back.tokens};
+            },
+            [](const credit_use& use) {
+                return json{use_kind, use.customer.value(), use.tokens};
             }},
         message);
     std::string bytes;
--- a/packages/credit/credit_purse_base.cpp
+++ b/packages/credit/credit_purse_base.cpp
@@ -51,8 +51,26 @@
                           token_count used)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    entries_[customer].free +=
-        reserved - std::clamp<token_count>(used, 0, reserved);
+    const auto charged = std::clamp<token_count>(used, 0, reserved);
+    auto& known = entries_[customer];
+    known.free += reserved - charged;
+    known.used += charged;
+}
+
+std::vector<credit_use> credit_purse::take_used()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<credit_use> result;
+    for (auto& [customer, known] : entries_)
+        if (known.used > 0)
+            result.push_back({customer, std::exchange(known.used, 0)});
+    return result;
+}
+
+void credit_purse::add_used(const credit_use& use)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    entries_[use.customer].used += use.tokens;
 }
 
 void credit_purse::add(const customer_id& customer, token_count tokens,
--- a/packages/credit/credit_purse_base.hpp
+++ b/packages/credit/credit_purse_base.hpp
@@ -55,6 +55,10 @@
 
     /** @return What is missing to outlast a while, by customer. */
     [[nodiscard]] std::vector<credit_wish> wishes(time_point now) const;
+    /** Takes out what requests have used since the last call. */
+    std::vector<credit_use> take_used();
+    /** Puts back what could not be reported. */
+    void add_used(const credit_use& use);
     /** Takes out what was not used for long. */
     std::vector<credit_return> take_idle(time_point now);
     /** Takes out all that is free. */
@@ -66,7 +70,8 @@
     struct entry
     {
         token_count free = 0;
-        double rate = 0; ///< Tokens a second at the last use.
+        token_count used = 0; ///< And not reported.
+        double rate = 0;      ///< Tokens a second at the last use.
         time_point used_at{};
         bool wanted = false; ///< By a request of this VM.
     };
--- a/packages/credit/credit_type.hpp
+++ b/packages/credit/credit_type.hpp
@@ -28,6 +28,8 @@
     std::uint64_t number = 0;
     customer_id customer;
     token_count tokens = 0; ///< 0 if the giver has too few.
+    /** What the whole fleet has consumed, as the giver knows. */
+    token_count consumed = 0;
 
     bool operator==(const credit_gift&) const = default;
 };
@@ -41,8 +43,18 @@
     bool operator==(const credit_return&) const = default;
 };
 
+/** Reports tokens that requests have used. */
+struct credit_use
+{
+    customer_id customer;
+    token_count tokens = 0;
+
+    bool operator==(const credit_use&) const = default;
+};
+
 /** What passes between two VMs. */
-using credit_message = std::variant<credit_ask, credit_gift, credit_return>;
+using credit_message =
+    std::variant<credit_ask, credit_gift, credit_return, credit_use>;
 
 /** A VM of the fleet, as it can be reached by others. */
 struct fleet_vm
--- a/packages/credit/test/credit_test.cpp
+++ b/packages/credit/test/credit_test.cpp
@@ -24,10 +24,9 @@
 {
     std::vector<fleet_vm> fleet;
     for (int number = 0; number < vms; ++number)
-        fleet.push_back(
-            {vm_id("vm-" + std::to_string(number)),
-             dc_id("dc" + std::to_string(number % data_centres)), "10.1.0.1",
-             7340});
+        fleet.push_back({vm_id("vm-" + std::to_string(number)),
+                         dc_id("dc" + std::to_string(number % data_centres)),
+                         "10.1.0.1", 7340});
     return fleet;
 }
 
@@ -51,6 +50,11 @@
     CHECK_FALSE(purse.reserve(acme, 301));
     purse.settle(acme, 700, 200);
     CHECK(purse.free(acme) == 800);
+    const std::vector<credit_use> used{{acme, 200}};
+    CHECK(purse.take_used() == used);
+    CHECK(purse.take_used().empty());
+    purse.add_used(used.front());
+    CHECK(purse.take_used() == used);
     REQUIRE(purse.reserve(acme, 800));
     purse.settle(acme, 800, 900); // Never more than was held.
     CHECK(purse.free(acme) == 0);
@@ -180,8 +184,8 @@
     const auto fleet = fleet_of(85, 3);
     std::map<vm_id, int> load;
     for (int number = 0; number < 280; ++number)
-        ++load[homes_of(customer_id("c" + std::to_string(number)),
-                        dc_id("dc0"), fleet)
+        ++load[homes_of(customer_id("c" + std::to_string(number)), dc_id("dc0"),
+                        fleet)
                    .front()
                    .vm];
     CHECK(load.size() == 29);
@@ -193,7 +197,8 @@
 {
     for (const credit_message& message :
          {credit_message(credit_ask{7, acme, 9'000, 20'000}),
-          credit_message(credit_gift{7, acme, 0}),
+          credit_message(credit_gift{7, acme, 0, 5'000}),
+          credit_message(credit_use{acme, 800}),
           credit_message(credit_return{acme, 12})}) {
         const auto read = decode_credit(encode_credit(message), "peer");
         REQUIRE(read);
@@ -206,7 +211,7 @@
     CHECK_FALSE(decode_credit("", "peer"));
     CHECK_FALSE(decode_credit("text", "peer"));
     // An amount below zero would add to the giver's budget.
-    CHECK_FALSE(decode_credit(encode_credit(credit_gift{1, acme, -5}), "b"));
+    CHECK_FALSE(decode_credit(encode_credit(credit_gift{1, acme, -5, 0}), "b"));
     CHECK(decode_credit("\xff", "vm-b").error().peer == "vm-b");
     CHECK(rc::check("random bytes", [] {
         const auto bytes = *rc::gen::arbitrary<std::string>();
--- a/packages/gateway/budget_part_base.cpp
+++ b/packages/gateway/budget_part_base.cpp
@@ -12,9 +12,8 @@
 namespace
 {
 
-/** Time between renewals while nothing is wanted sooner. */
-constexpr auto renew_every = milliseconds(2'000);
-/** Added to it for each VM of the ledger beyond the first ten. */
+/** Added to the time between renewals for each VM of the ledger beyond the
+ * first ten. */
 constexpr auto renew_more = milliseconds(200);
 /** Least time between renewals that requests ask for. */
 constexpr auto renew_apart = milliseconds(50);
@@ -82,7 +81,7 @@
         clock_.now() - started_ < evidence_span)
         return evidence_pause;
     const auto vms = keeper_.live_vms();
-    return renew_every + renew_more * (vms > 10 ? vms - 10 : 0);
+    return options_.renew_every + renew_more * (vms > 10 ? vms - 10 : 0);
 }
 
 void budget_part::pause()
@@ -109,7 +108,7 @@
         const auto next = keeper_.prepare(options_.prepaid(), read_clocks());
         if (write(next)) {
             log_renewal(next);
-            note_rests();
+            note_consumed();
             for (const auto& customer : keeper_.short_customers())
                 purse_.note_short(customer, clock_.now() + short_span);
             return;
@@ -209,12 +208,10 @@
                 {"short", keeper_.short_customers().size()}});
 }
 
-void budget_part::note_rests()
+void budget_part::note_consumed()
 {
-    if (!options_.rest_known)
-        return;
-    for (const auto& [customer, total] : options_.prepaid())
-        purse_.note_rest(customer, unspent(keeper_.current(), customer, total));
+    for (const auto& [customer, account] : keeper_.current().accounts)
+        purse_.note_consumed(customer, consumed(keeper_.current(), customer));
 }
 
 void budget_part::close()
--- a/packages/gateway/budget_part_base.hpp
+++ b/packages/gateway/budget_part_base.hpp
@@ -13,9 +13,8 @@
 struct budget_part_options
 {
     ledger_keeper_options keeper;
-    std::string name; ///< Of the ledger in the store.
-    /** What the ledger has as spent is spent, and not credit of some VM. */
-    bool rest_known = true;
+    std::string name;                           ///< Of the ledger in the store.
+    duration renew_every = milliseconds(2'000); ///< While nothing is short.
     /** Prepaid totals of this part's customers, by the configuration. */
     std::function<std::map<customer_id, token_count>()> prepaid;
 };
@@ -46,7 +45,7 @@
     bool read(bool stale);
     bool write(const ledger_write& write);
     bool refresh(const std::optional<platform::store_object>& object);
-    void note_rests();
+    void note_consumed();
     void log_closings(const ledger_write& write);
     void log_renewal(const ledger_write& write);
     void pause();
--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -16,6 +16,8 @@
 constexpr auto layout_pause = milliseconds(300);
 /** Some VM in each of so many data centres draws on a customer's ledger. */
 constexpr std::size_t homes_expected = 3;
+/** Time between its renewals; a grant opens over 4 s and more. */
+constexpr auto home_renewal = milliseconds(3'000);
 /** Time for a renewal that another VM's ask needs, and between looks at it. */
 constexpr auto give_limit = milliseconds(80);
 constexpr auto give_check = milliseconds(10);
@@ -101,7 +103,7 @@
     options.name = name_of_part(number);
     options.prepaid = [this, number] { return prepaid(number); };
     if (layout_->parts > 1) {
-        options.rest_known = false;
+        options.renew_every = home_renewal;
         options.keeper.policy.least_vms = homes_expected;
     }
     known = std::make_unique<budget_part>(io_, std::move(options), store_,
@@ -133,21 +135,22 @@
     }).detach();
 }
 
-token_count control_service::give(const credit_ask& ask)
+credit_gift control_service::give(const credit_ask& ask)
 {
+    credit_gift gift{ask.number, ask.customer};
     const auto customers = budgeted();
     if (!budgets_known_ || closing_ ||
         std::find(customers.begin(), customers.end(), ask.customer) ==
             customers.end())
-        return 0;
+        return gift;
     const auto until = clock_.now() + give_limit;
     while (true) {
         const auto now = clock_.now();
-        const auto given =
-            purse_.take(ask.customer, ask.least, ask.wish, now);
-        if (given > 0 || ask.least == 0 || now >= until || store_.down() ||
-            !purse_.may_grow(ask.customer, now))
-            return given;
+        gift.tokens = purse_.take(ask.customer, ask.least, ask.wish, now);
+        gift.consumed = purse_.consumed(ask.customer);
+        if (gift.tokens > 0 || ask.least == 0 || now >= until ||
+            store_.down() || !purse_.may_grow(ask.customer, now))
+            return gift;
         part(part_of(*layout_, ask.customer)).renew_soon();
         fiber_sleep(io_, give_check);
     }
--- a/packages/gateway/control_presence.cpp
+++ b/packages/gateway/control_presence.cpp
@@ -79,7 +79,8 @@
     presence_.take(entries, clock_.now());
     std::vector<fleet_vm> fleet;
     for (const auto& [vm, entry] : presence_.live(clock_.now()))
-        fleet.push_back({vm, entry.data_centre, entry.address, entry.port});
+        if (entry.port != 0)
+            fleet.push_back({vm, entry.data_centre, entry.address, entry.port});
     credits_.take_fleet(std::move(fleet),
                         config_ ? budgeted() : std::vector<customer_id>{});
     join_own_parts();
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -16,6 +16,9 @@
 /** Longest that a watch stays open; each one is a call with a price. */
 constexpr auto watch_wait = std::chrono::milliseconds(20'000);
 constexpr auto retry_pause = std::chrono::milliseconds(100);
+/** Engines start and change in groups, and each answer of a watch is a call.
+ *  Far below the time for which an engine that leaves goes on serving. */
+constexpr auto engine_pause = std::chrono::milliseconds(300);
 constexpr auto lapse_check = std::chrono::milliseconds(200);
 
 /** @return The kernel's name for this start of the VM; empty if it has none.
@@ -38,7 +41,15 @@
       metrics_(metrics), store_(io, options_.settings.store, log, metrics),
       credits_(io,
                {.self = self(),
-                .give = [this](const credit_ask& ask) { return give(ask); }},
+                .give = [this](const credit_ask& ask) { return give(ask); },
+                .used =
+                    [this](const credit_use& use) {
+                        purse_.note_used(use.customer, use.tokens);
+                    },
+                .consumed =
+                    [this](const customer_id& customer, token_count tokens) {
+                        purse_.note_consumed(customer, tokens);
+                    }},
                credit, log, metrics),
       presence_({.self = options_.settings.vm}),
       own_presence_({.run = options_.self,
@@ -85,6 +96,8 @@
         const bool good = loaded ? watch(kind, revision) : load(kind, revision);
         if (good) {
             loaded = true;
+            if (kind == platform::engine_kind)
+                fiber_sleep(io_, engine_pause);
             continue;
         }
         // A watch that was refused for lost history starts over by a list.
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -69,7 +69,7 @@
     bool resume_parts();
     budget_part& part(std::uint32_t number);
     void renew_changed(const router_config& before);
-    token_count give(const credit_ask& ask);
+    credit_gift give(const credit_ask& ask);
     void join_own_parts();
     [[nodiscard]] fleet_vm self() const;
     [[nodiscard]] std::vector<customer_id> budgeted() const;
--- a/packages/gateway/credit_service_base.cpp
+++ b/packages/gateway/credit_service_base.cpp
@@ -93,8 +93,7 @@
 
 bool credit_service::is_home(const customer_id& customer) const
 {
-    const auto order =
-        homes_of(customer, options_.self.data_centre, fleet_);
+    const auto order = homes_of(customer, options_.self.data_centre, fleet_);
     return !order.empty() && order.front().vm == options_.self.vm;
 }
 
@@ -175,26 +174,43 @@
                         {++last_number_, wish.customer, 0, wish.tokens});
         }
         give_back(purse_.take_idle(clock_.now()));
+        report_used();
         fiber_sleep(io_, keep_up_every);
     }
 }
 
 void credit_service::give_back(const std::vector<credit_return>& credit)
 {
-    for (const auto& one : credit) {
-        const auto order = homes(one.customer);
-        const auto socket = order.empty() || is_home(one.customer)
-                                ? std::nullopt
-                                : socket_to(order.front());
-        if (!socket || !peers_.send(*socket, true, encode_credit(one)))
+    for (const auto& one : credit)
+        if (is_home(one.customer) || !send_home(one.customer, one))
             purse_.add(one.customer, one.tokens, clock_.now());
+}
+
+void credit_service::report_used()
+{
+    for (const auto& one : purse_.take_used()) {
+        if (is_home(one.customer))
+            options_.used(one);
+        else if (!send_home(one.customer, one))
+            purse_.add_used(one);
     }
 }
 
+bool credit_service::send_home(const customer_id& customer,
+                               const credit_message& message)
+{
+    const auto order = homes(customer);
+    if (order.empty())
+        return false;
+    const auto socket = socket_to(order.front());
+    return socket && peers_.send(*socket, true, encode_credit(message));
+}
+
 void credit_service::close()
 {
     closing_ = true;
     give_back(purse_.take_all());
+    report_used();
 }
 
 void credit_service::on_opened(socket_number number, bool outgoing)
@@ -225,14 +241,15 @@
 {
     // A handler must not wait, and the answer may need a renewal.
     boost::fibers::fiber(boost::fibers::launch::post, [this, from, ask] {
-        auto given = purse_.release(ask.customer, ask.least, ask.wish);
-        if (given == 0)
-            given = options_.give(ask);
-        metrics_.add(counter::credit_given, static_cast<std::uint64_t>(given));
-        const credit_gift gift{ask.number, ask.customer, given};
+        credit_gift gift{ask.number, ask.customer};
+        gift.tokens = purse_.release(ask.customer, ask.least, ask.wish);
+        if (gift.tokens == 0)
+            gift = options_.give(ask);
+        metrics_.add(counter::credit_given,
+                     static_cast<std::uint64_t>(gift.tokens));
         if (peers_.queued(from) > max_queued ||
             !peers_.send(from, true, encode_credit(gift)))
-            purse_.add(ask.customer, given, clock_.now());
+            purse_.add(ask.customer, gift.tokens, clock_.now());
     }).detach();
 }
 
@@ -240,6 +257,7 @@
 {
     // A late one counts too: its giver has charged it.
     purse_.add(gift.customer, gift.tokens, clock_.now());
+    options_.consumed(gift.customer, gift.consumed);
     const auto asked = pending_.find(gift.number);
     if (asked == pending_.end())
         return;
@@ -252,4 +270,9 @@
     purse_.add(back.customer, back.tokens, clock_.now());
 }
 
+void credit_service::take(const credit_use& use)
+{
+    options_.used(use);
+}
+
 } // namespace rosemarydeck
--- a/packages/gateway/credit_service_base.hpp
+++ b/packages/gateway/credit_service_base.hpp
@@ -20,7 +20,11 @@
 {
     fleet_vm self;
     /** Takes tokens from this VM's share of a budget; suspends the fiber. */
-    std::function<token_count(const credit_ask&)> give;
+    std::function<credit_gift(const credit_ask&)> give;
+    /** Notes that other VMs have used what this one gave. */
+    std::function<void(const credit_use&)> used;
+    /** Notes what the fleet has consumed of a customer's budget. */
+    std::function<void(const customer_id&, token_count)> consumed;
 };
 
 /**
@@ -71,9 +75,12 @@
     void take(socket_number from, const credit_ask& ask);
     void take(const credit_gift& gift);
     void take(const credit_return& back);
+    void take(const credit_use& use);
     void keep_up();
     void note_silent(const fleet_vm& home, socket_number socket);
     void give_back(const std::vector<credit_return>& credit);
+    void report_used();
+    bool send_home(const customer_id& customer, const credit_message& message);
     std::optional<token_count> ask_one(const fleet_vm& home, credit_ask ask);
     [[nodiscard]] std::vector<fleet_vm> homes(const customer_id& customer);
     /** Opens a connection if there is none; suspends the fiber. */
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -151,7 +151,7 @@
     shared_.credit.note_demand(customer_->id, charge, started_);
     if (take_tokens(charge) || reserve_waiting())
         return true;
-    if (shared_.purse.rest(customer_->id) < charge)
+    if (budget_left() < charge)
         refuse(402, counter::refused_budget_spent, "budget_spent");
     else
         refuse(503, counter::refused_budget_unknown, "no_headroom",
@@ -159,6 +159,11 @@
     return false;
 }
 
+token_count exchange::budget_left() const
+{
+    return *customer_->prepaid - shared_.purse.consumed(customer_->id);
+}
+
 bool exchange::take_tokens(token_count charge)
 {
     from_credit_ = shared_.credit.reserve(customer_->id, charge);
@@ -173,7 +178,7 @@
 {
     const auto until = std::min(started_ + duration(grant_wait), deadline_);
     const auto charge = head_.largest_charge();
-    if (shared_.purse.rest(customer_->id) < charge ||
+    if (budget_left() < charge ||
         !shared_.purse.may_grow(customer_->id, started_))
         return false;
     shared_.control.want_grant(customer_->id, charge);
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -52,6 +52,7 @@
     bool authorize();
     bool reserve();
     bool take_tokens(token_count charge);
+    [[nodiscard]] token_count budget_left() const;
     bool reserve_waiting();
     bool crashes_engines() const;
     [[nodiscard]] request_fingerprint fingerprint() const;
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -54,10 +54,10 @@
     log_.write("start", {{"instance", options.self.value()},
                          {"data_centre", settings_.data_centre.value()},
                          {"callers", settings_.callers.text()}});
-    control_ = std::make_unique<control_service>(io_, std::move(options),
-                                                 purse_, credit_, log_, metrics_);
-    traffic_ = std::make_unique<traffic_service>(settings_, purse_, credit_, log_,
-                                                 metrics_, make_calls());
+    control_ = std::make_unique<control_service>(
+        io_, std::move(options), purse_, credit_, log_, metrics_);
+    traffic_ = std::make_unique<traffic_service>(settings_, purse_, credit_,
+                                                 log_, metrics_, make_calls());
     const auto opened = open_ports();
     if (!opened) {
         log_.write("stop", {{"why", describe(opened.error())}});
@@ -75,8 +75,7 @@
 control_calls gateway::make_calls()
 {
     control_calls calls;
-    calls.want_grant = [this](const customer_id& customer,
-                              token_count tokens) {
+    calls.want_grant = [this](const customer_id& customer, token_count tokens) {
         boost::asio::post(io_, [this, customer, tokens] {
             control_->want_grant(customer, tokens);
         });
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -21,8 +21,8 @@
 
 traffic_service::traffic_service(const gateway_settings& settings,
                                  wallet& purse, credit_purse& credit,
-                                 event_log& log,
-                                 gateway_metrics& metrics, control_calls calls)
+                                 event_log& log, gateway_metrics& metrics,
+                                 control_calls calls)
     : shared_{.io = io_,
               .settings = settings,
               .purse = purse,
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -15,8 +15,8 @@
 {
 public:
     traffic_service(const gateway_settings& settings, wallet& purse,
-                    credit_purse& credit, event_log& log, gateway_metrics& metrics,
-                    control_calls calls);
+                    credit_purse& credit, event_log& log,
+                    gateway_metrics& metrics, control_calls calls);
     ~traffic_service();
 
     /** Opens the port and starts the thread. @return The port, or an error. */
--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -129,6 +129,7 @@
     auto& own = account.shares[wish.self];
     own.spent = usage.spent;
     own.held = usage.reserved;
+    own.lent = std::min(usage.lent, usage.spent);
     own.wanted = 0;
     auto sums = sum_up(account, wish.self);
     const auto rest = std::max<token_count>(0, prepaid - sums.spent);
@@ -202,13 +203,15 @@
     return next;
 }
 
-token_count unspent(const ledger& now, const customer_id& customer,
-                    token_count prepaid)
+token_count consumed(const ledger& now, const customer_id& customer)
 {
     const auto found = now.accounts.find(customer);
     if (found == now.accounts.end())
-        return prepaid;
-    return prepaid - sum_up(found->second, {}).spent;
+        return 0;
+    auto sum = found->second.closed;
+    for (const auto& [run, share] : found->second.shares)
+        sum += share.spent - share.lent;
+    return sum;
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -96,8 +96,8 @@
 /** @return True if runs wait for evidence of what they have spent. */
 bool has_ended_runs(const ledger& now);
 
-/** @return Tokens of a budget that no run has reported as spent. */
-token_count unspent(const ledger& now, const customer_id& customer,
-                    token_count prepaid);
+/** @return Tokens of a budget that are charged for good: by runs that are
+ *  over, and as used by those that run. It never shrinks. */
+token_count consumed(const ledger& now, const customer_id& customer);
 
 } // namespace rosemarydeck
--- a/packages/ledger/ledger_json_func.cpp
+++ b/packages/ledger/ledger_json_func.cpp
@@ -34,8 +34,8 @@
 // The ledger holds a share for each customer and VM, so these have no names.
 void to_json(nlohmann::json& json, const ledger_share& value)
 {
-    json = {value.granted, value.spent, value.held,
-            value.open,    value.slope, value.wanted};
+    json = {value.granted, value.spent,  value.held, value.open,
+            value.slope,   value.wanted, value.lent};
 }
 
 void from_json(const nlohmann::json& json, ledger_share& value)
@@ -46,6 +46,7 @@
     json.at(3).get_to(value.open);
     json.at(4).get_to(value.slope);
     json.at(5).get_to(value.wanted);
+    json.at(6).get_to(value.lent);
 }
 
 ROSEMARYDECK_JSON(ledger_mark, turn, wall_ms)
--- a/packages/ledger/ledger_type.hpp
+++ b/packages/ledger/ledger_type.hpp
@@ -26,6 +26,8 @@
     token_count open = 0;    ///< May be spent at once beyond these.
     token_count slope = 0;   ///< Opens with each second after the report.
     token_count wanted = 0;  ///< Headroom that the run's traffic asks for.
+    /** Of what is spent, given to other VMs and not yet reported as used. */
+    token_count lent = 0;
 
     bool operator==(const ledger_share&) const = default;
 };
--- a/packages/ledger/test/ledger_property_test.cpp
+++ b/packages/ledger/test/ledger_property_test.cpp
@@ -171,6 +171,10 @@
     void reserve(vm_process& vm)
     {
         const auto tokens = static_cast<token_count>(1 + pick(9'000));
+        if (pick(5) == 0) { // For another VM, which may use it all.
+            spent_ += vm.purse->take(acme, tokens, 2 * tokens, clock(vm).now);
+            return;
+        }
         if (vm.purse->reserve(acme, tokens, clock(vm).now))
             vm.in_flight += tokens;
     }
--- a/packages/ledger/test/ledger_test.cpp
+++ b/packages/ledger/test/ledger_test.cpp
@@ -354,6 +354,28 @@
     CHECK(vm.purse.take(acme, all, 0, at(9s).now) == all);
 }
 
+TEST_CASE("What was lent is consumed only as it is used", "[keeper]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(1'000'000, 0ms);
+    CHECK(consumed(vm.keeper.current(), acme) == 0);
+    REQUIRE(vm.purse.take(acme, 10'000, 0, at(9s).now) == 10'000);
+    REQUIRE(vm.purse.reserve(acme, 500, at(9s).now));
+    vm.purse.settle(acme, 500, 300);
+    vm.renew(1'000'000, 9s);
+    CHECK(share_of(vm.keeper.current(), "a.1").spent == 10'300);
+    CHECK(consumed(vm.keeper.current(), acme) == 300);
+    vm.purse.note_used(acme, 4'000);
+    vm.renew(1'000'000, 10s);
+    CHECK(consumed(vm.keeper.current(), acme) == 4'300);
+    vm.purse.note_used(acme, 9'999); // Reported twice, or of another run.
+    vm.renew(1'000'000, 11s);
+    CHECK(consumed(vm.keeper.current(), acme) == 10'300);
+    vm.purse.note_consumed(acme, 20);
+    vm.purse.note_consumed(acme, 10);
+    CHECK(vm.purse.consumed(acme) == 20);
+}
+
 TEST_CASE("A ledger survives its JSON form", "[json]")
 {
     lone_vm vm(options_of("a"));
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -68,9 +68,17 @@
     const auto ahead = std::min(wish, headroom / ahead_divisor);
     const auto taken = std::max({least, ahead, token_count{0}});
     usage.spent += taken;
+    usage.lent += taken;
     return taken;
 }
 
+void wallet::note_used(const customer_id& customer, token_count tokens)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto& lent = entries_[customer].usage.lent;
+    lent = std::max<token_count>(0, lent - tokens);
+}
+
 void wallet::settle(const customer_id& customer, token_count reserved,
                     token_count used)
 {
@@ -159,18 +167,18 @@
     return found == entries_.end() || found->second.short_until <= now;
 }
 
-void wallet::note_rest(const customer_id& customer, token_count tokens)
+void wallet::note_consumed(const customer_id& customer, token_count tokens)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    entries_[customer].rest = tokens;
+    auto& known = entries_[customer].consumed;
+    known = std::max(known, tokens);
 }
 
-token_count wallet::rest(const customer_id& customer) const
+token_count wallet::consumed(const customer_id& customer) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto found = entries_.find(customer);
-    return found == entries_.end() ? std::numeric_limits<token_count>::max()
-                                   : found->second.rest;
+    return found == entries_.end() ? 0 : found->second.consumed;
 }
 
 } // namespace rosemarydeck
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -16,6 +16,7 @@
 struct wallet_usage
 {
     token_count spent = 0;    ///< Settled charges.
+    token_count lent = 0;     ///< Of these, given away and not known as used.
     token_count reserved = 0; ///< Held for requests in flight.
     token_count largest = 0;  ///< Largest reservation of late.
     token_count missing = 0;  ///< Asked for and not covered, since last read.
@@ -56,6 +57,8 @@
      */
     token_count take(const customer_id& customer, token_count least,
                      token_count wish, time_point now);
+    /** Notes that other VMs have used tokens that were taken. */
+    void note_used(const customer_id& customer, token_count tokens);
     /** @return Usage of a customer. Clears what was missing. */
     wallet_usage read(const customer_id& customer, time_point now);
     /** Binds the wallet to a share that is about to be written, besides those
@@ -76,17 +79,17 @@
     /** @return True if asking for more headroom may help now. */
     [[nodiscard]] bool may_grow(const customer_id& customer,
                                 time_point now) const;
-    /** Notes what the ledger shows as unspent by anyone. */
-    void note_rest(const customer_id& customer, token_count tokens);
-    /** @return What note_rest() last said; unlimited before. */
-    [[nodiscard]] token_count rest(const customer_id& customer) const;
+    /** Notes what the whole fleet has consumed; it never shrinks. */
+    void note_consumed(const customer_id& customer, token_count tokens);
+    /** @return The most that note_consumed() said; 0 before. */
+    [[nodiscard]] token_count consumed(const customer_id& customer) const;
 
 private:
     struct entry
     {
         wallet_usage usage;
         std::vector<wallet_terms> terms; ///< All of them bind.
-        token_count rest = std::numeric_limits<token_count>::max();
+        token_count consumed = 0;
         time_point short_until{};
         time_point first_seen{};
         token_count rated_spent = 0;
--- a/packages/router/fleet_presence_base.cpp
+++ b/packages/router/fleet_presence_base.cpp
@@ -42,8 +42,7 @@
 {
     std::map<vm_id, vm_presence> result;
     for (const auto& [vm, seen] : sightings_)
-        if (vm == options_.self ||
-            now - seen.changed <= options_.silent_after)
+        if (vm == options_.self || now - seen.changed <= options_.silent_after)
             result[vm] = seen.entry;
     return result;
 }
--- a/packages/router/router_json_func.cpp
+++ b/packages/router/router_json_func.cpp
@@ -6,7 +6,9 @@
 namespace rosemarydeck
 {
 
-ROSEMARYDECK_JSON(vm_presence, run, beat, data_centre, address, port)
+// A VM of another version counts too, whatever it says beside this.
+ROSEMARYDECK_JSON_WITH_DEFAULT(vm_presence, run, beat, data_centre, address,
+                               port)
 
 void to_json(nlohmann::json& json, const vm_crashes& value)
 {
