Ask for credit once a customer, from VMs that can carry it

The second silence closed the connection and lost what came late on it. Credit lay idle on VMs for 15 s and fragments were never asked to be made up; homes that had nothing were renewed for every ask. Ruled out: processors (0.053 cores at most) and budgets in general: all customers but one had used 97 to 99 % of theirs; the largest one had 18.3M charged and 8.0M used. Change: one ask at a time for a customer and VM, for all that waits there; a look after a time-out; a connection is dropped after two silences; idle credit goes back after 5 s; only what is missing is asked for; shortages remember the amount; homes are VMs with at least half of the largest's processor time.

--- a/packages/credit/credit_purse_base.hpp
+++ b/packages/credit/credit_purse_base.hpp
@@ -14,10 +14,10 @@
 /** How much credit is held ahead of requests. */
 struct credit_policy
 {
-    double cover_seconds = 6; ///< Spending that it is to outlast.
+    double cover_seconds = 5; ///< Spending that it is to outlast.
     duration rate_span = std::chrono::seconds(8); ///< Over which it is taken.
     /** Credit that was not used for so long goes back. */
-    duration idle_limit = std::chrono::seconds(15);
+    duration idle_limit = std::chrono::seconds(5);
 };
 
 /** Credit that would serve for a while. */
--- a/packages/credit/credit_type.hpp
+++ b/packages/credit/credit_type.hpp
@@ -63,6 +63,7 @@
     dc_id data_centre;
     std::string address; ///< IP number.
     std::uint16_t port = 0;
+    double cores = 1; ///< Processor time that it may use.
 
     bool operator==(const fleet_vm&) const = default;
 };
--- a/packages/credit/test/credit_test.cpp
+++ b/packages/credit/test/credit_test.cpp
@@ -179,6 +179,27 @@
     CHECK(homes_of(acme, dc_id("dc1"), {}).empty());
 }
 
+TEST_CASE("Small VMs beside large ones are no homes", "[home]")
+{
+    auto fleet = fleet_of(30, 3);
+    for (auto& one : fleet)
+        one.cores = 0.12;
+    // Where all are alike, all serve.
+    const auto home = homes_of(acme, dc_id("dc0"), fleet).front();
+    for (std::size_t at = 0; at < 6; ++at)
+        fleet[at].cores = 0.5;
+    std::set<vm_id> homes;
+    for (int number = 0; number < 50; ++number)
+        for (const auto& one :
+             homes_of(customer_id("c" + std::to_string(number)), dc_id("dc0"),
+                      fleet))
+            homes.insert(one.vm);
+    CHECK(homes.size() == 6);
+    for (auto& one : fleet)
+        one.cores = one.data_centre == dc_id("dc0") ? 0.12 : 0.5;
+    CHECK(homes_of(acme, dc_id("dc0"), fleet).front().vm == home.vm);
+}
+
 TEST_CASE("Customers are spread over the VMs of a data centre", "[home]")
 {
     const auto fleet = fleet_of(85, 3);
--- a/packages/gateway/budget_part_base.cpp
+++ b/packages/gateway/budget_part_base.cpp
@@ -17,8 +17,6 @@
 constexpr auto renew_more = milliseconds(200);
 /** Least time between renewals that requests ask for. */
 constexpr auto renew_apart = milliseconds(50);
-/** Others give back headroom within their own renewals. */
-constexpr auto short_span = milliseconds(700);
 /** Time between renewals, and for how long after the start, while runs that
  *  have ended wait to be closed. */
 constexpr auto evidence_pause = milliseconds(300);
@@ -109,8 +107,9 @@
         if (write(next)) {
             log_renewal(next);
             note_consumed();
-            for (const auto& customer : keeper_.short_customers())
-                purse_.note_short(customer, clock_.now() + short_span);
+            for (const auto& [customer, least] : keeper_.shortages())
+                purse_.note_short(customer, least,
+                                  clock_.now() + options_.short_span);
             return;
         }
         if (!keeper_.fresh())
@@ -197,15 +196,14 @@
             spent += share.spent;
         }
     }
-    log_.write("budgets_renewed",
-               {{"ledger", options_.name},
-                {"turn", write.next.turn},
-                {"runs", write.next.members.size()},
-                {"prepaid", total},
-                {"closed", closed},
-                {"granted", granted},
-                {"spent", spent},
-                {"short", keeper_.short_customers().size()}});
+    log_.write("budgets_renewed", {{"ledger", options_.name},
+                                   {"turn", write.next.turn},
+                                   {"runs", write.next.members.size()},
+                                   {"prepaid", total},
+                                   {"closed", closed},
+                                   {"granted", granted},
+                                   {"spent", spent},
+                                   {"short", keeper_.shortages().size()}});
 }
 
 void budget_part::note_consumed()
--- a/packages/gateway/budget_part_base.hpp
+++ b/packages/gateway/budget_part_base.hpp
@@ -15,6 +15,8 @@
     ledger_keeper_options keeper;
     std::string name;                           ///< Of the ledger in the store.
     duration renew_every = milliseconds(2'000); ///< While nothing is short.
+    /** Others give back headroom within their own renewals. */
+    duration short_span = milliseconds(700);
     /** Prepaid totals of this part's customers, by the configuration. */
     std::function<std::map<customer_id, token_count>()> prepaid;
 };
--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -18,10 +18,11 @@
 constexpr std::size_t homes_expected = 3;
 /** Time between its renewals; a grant opens over 4 s and more. */
 constexpr auto home_renewal = milliseconds(3'000);
+constexpr auto home_short_span = milliseconds(2'000);
 /** Time for a renewal that another VM's ask needs, and between looks at it. */
 constexpr auto give_limit = milliseconds(80);
 constexpr auto give_check = milliseconds(10);
-/** Other VMs give back headroom within their own renewals. */
+/** Homes get more, and credit comes back to them, within such a time. */
 constexpr auto short_span = milliseconds(700);
 /** All VMs of a new fleet are known by then. */
 constexpr auto fleet_span = milliseconds(5'000);
@@ -104,6 +105,7 @@
     options.prepaid = [this, number] { return prepaid(number); };
     if (layout_->parts > 1) {
         options.renew_every = home_renewal;
+        options.short_span = home_short_span;
         options.keeper.policy.least_vms = homes_expected;
     }
     known = std::make_unique<budget_part>(io_, std::move(options), store_,
@@ -127,33 +129,73 @@
 {
     if (!budgets_known_ || closing_)
         return;
-    if (layout_->parts == 1 || credits_.is_home(customer))
+    if (layout_->parts == 1)
         return part(part_of(*layout_, customer)).renew_soon();
     boost::fibers::fiber(boost::fibers::launch::post, [=, this] {
-        if (!credits_.ask(customer, tokens))
-            purse_.note_short(customer, clock_.now() + short_span);
+        find_credit(customer, tokens);
     }).detach();
 }
 
+void control_service::find_credit(const customer_id& customer,
+                                  token_count tokens)
+{
+    if (credits_.is_home(customer)) {
+        // Its own share may do; the others' are asked for if it does not.
+        const auto gift = give({0, customer, tokens, tokens});
+        if (gift.tokens > 0)
+            return credits_.keep(gift);
+    }
+    if (!credits_.ask(customer, tokens))
+        purse_.note_short(customer, tokens, clock_.now() + short_span);
+}
+
 credit_gift control_service::give(const credit_ask& ask)
 {
     credit_gift gift{ask.number, ask.customer};
-    const auto customers = budgeted();
-    if (!budgets_known_ || closing_ ||
-        std::find(customers.begin(), customers.end(), ask.customer) ==
-            customers.end())
+    const auto total = budget_of(ask.customer);
+    if (!budgets_known_ || closing_ || !total)
         return gift;
     const auto until = clock_.now() + give_limit;
-    while (true) {
-        const auto now = clock_.now();
-        gift.tokens = purse_.take(ask.customer, ask.least, ask.wish, now);
+    const auto try_now = [&] {
+        gift.tokens =
+            purse_.take(ask.customer, ask.least, ask.wish, clock_.now());
         gift.consumed = purse_.consumed(ask.customer);
-        if (gift.tokens > 0 || ask.least == 0 || now >= until ||
-            store_.down() || !purse_.may_grow(ask.customer, now))
-            return gift;
+        return gift.tokens > 0;
+    };
+    // A renewal can't bring more than there is.
+    const auto may_help = [&] {
+        return ask.least > 0 && clock_.now() < until && !store_.down() &&
+               purse_.may_grow(ask.customer, ask.least, clock_.now()) &&
+               *total - gift.consumed >= ask.least;
+    };
+    if (try_now())
+        return gift;
+    if (may_help())
         part(part_of(*layout_, ask.customer)).renew_soon();
+    while (may_help()) {
         fiber_sleep(io_, give_check);
+        if (try_now())
+            return gift;
     }
+    if (ask.least > 0)
+        log_.write("credit_denied",
+                   {{"customer", ask.customer.value()},
+                    {"asked", ask.least},
+                    {"headroom", purse_.headroom(ask.customer, clock_.now())},
+                    {"consumed", gift.consumed},
+                    {"prepaid", *total},
+                    {"store_down", store_.down() ? 1 : 0}});
+    return gift;
+}
+
+std::optional<token_count>
+control_service::budget_of(const customer_id& customer) const
+{
+    if (config_)
+        for (const auto& one : config_->config().customers)
+            if (one.id == customer)
+                return one.prepaid;
+    return std::nullopt;
 }
 
 void control_service::join_own_parts()
@@ -178,7 +220,8 @@
 fleet_vm control_service::self() const
 {
     return {options_.settings.vm, options_.settings.data_centre,
-            options_.settings.control.address, options_.settings.control.port};
+            options_.settings.control.address, options_.settings.control.port,
+            options_.settings.cores};
 }
 
 void control_service::renew_changed(const router_config& before)
--- a/packages/gateway/control_presence.cpp
+++ b/packages/gateway/control_presence.cpp
@@ -80,7 +80,8 @@
     std::vector<fleet_vm> fleet;
     for (const auto& [vm, entry] : presence_.live(clock_.now()))
         if (entry.port != 0)
-            fleet.push_back({vm, entry.data_centre, entry.address, entry.port});
+            fleet.push_back({vm, entry.data_centre, entry.address, entry.port,
+                             entry.cores});
     credits_.take_fleet(std::move(fleet),
                         config_ ? budgeted() : std::vector<customer_id>{});
     join_own_parts();
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -55,7 +55,8 @@
       own_presence_({.run = options_.self,
                      .data_centre = options_.settings.data_centre,
                      .address = options_.settings.control.address,
-                     .port = options_.settings.control.port})
+                     .port = options_.settings.control.port,
+                     .cores = options_.settings.cores})
 {
 }
 
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -70,8 +70,11 @@
     budget_part& part(std::uint32_t number);
     void renew_changed(const router_config& before);
     credit_gift give(const credit_ask& ask);
+    void find_credit(const customer_id& customer, token_count tokens);
     void join_own_parts();
     [[nodiscard]] fleet_vm self() const;
+    [[nodiscard]] std::optional<token_count>
+    budget_of(const customer_id& customer) const;
     [[nodiscard]] std::vector<customer_id> budgeted() const;
     [[nodiscard]] std::map<customer_id, token_count>
     prepaid(std::uint32_t number) const;
--- a/packages/gateway/credit_service_base.cpp
+++ b/packages/gateway/credit_service_base.cpp
@@ -16,10 +16,13 @@
 {
 
 /** An answer takes a few milliseconds, or a renewal of the ledger. */
-constexpr auto ask_limit = milliseconds(120);
+constexpr auto ask_limit = milliseconds(160);
 /** A VM that gave no answer is left alone for so long. */
 constexpr auto silent_span = milliseconds(1'500);
 constexpr auto silent_memory = milliseconds(5'000);
+/** Answers missed in a row, at least silent_span apart. */
+constexpr int dead_after = 2;
+constexpr auto stall_grace = milliseconds(20);
 /** Longest wait for a new connection. */
 constexpr auto open_limit = milliseconds(60);
 constexpr auto open_check = milliseconds(10);
@@ -122,10 +125,32 @@
 }
 
 bool credit_service::ask(const customer_id& customer, token_count tokens)
+{
+    auto& known = demands_[customer];
+    known.least = known.all == 0 ? tokens : std::min(known.least, tokens);
+    known.all += tokens;
+    if (std::exchange(known.asking, true))
+        return true;
+    bool given = true;
+    while (given && known.all > 0) {
+        const auto wanted = std::exchange(known, {.asking = true});
+        given = ask_homes(customer, wanted);
+    }
+    known = {};
+    return given;
+}
+
+bool credit_service::ask_homes(const customer_id& customer,
+                               const demand& wanted)
 {
     for (const auto& home : homes(customer)) {
+        // What is held already need not be asked for.
+        const auto held = purse_.free(customer);
+        if (wanted.least <= held)
+            return true;
         const auto given =
-            ask_one(home, {++last_number_, customer, tokens, tokens});
+            ask_one(home, {++last_number_, customer, wanted.least - held,
+                           wanted.all - held});
         if (given.value_or(0) > 0)
             return true;
     }
@@ -146,6 +171,9 @@
         await_io([&](auto handler) {
             waiting.timer.async_wait(std::move(handler));
         });
+        // After a stall of this VM the answer may be there, but not yet read.
+        if (!waiting.given)
+            fiber_sleep(io_, stall_grace);
     }
     pending_.erase(ask.number);
     if (!waiting.given)
@@ -158,10 +186,12 @@
     log_.write("peer_silent", {{"vm", home.vm.value()}});
     const auto now = clock_.now();
     auto& known = silent_[endpoint_of(home)];
-    // Again, and it may be the connection: a new one is made.
-    if (known.forgotten > now)
+    const auto times = known.forgotten > now ? known.times + 1 : 1;
+    known = {now + silent_span, now + silent_memory, times};
+    // It may be the connection: a new one is made. What comes late on the old
+    // one is lost.
+    if (times >= dead_after)
         peers_.close(socket);
-    known = {now + silent_span, now + silent_memory};
 }
 
 void credit_service::keep_up()
@@ -206,6 +236,11 @@
     return socket && peers_.send(*socket, true, encode_credit(message));
 }
 
+void credit_service::keep(const credit_gift& gift)
+{
+    purse_.add(gift.customer, gift.tokens, clock_.now());
+}
+
 void credit_service::close()
 {
     closing_ = true;
--- a/packages/gateway/credit_service_base.hpp
+++ b/packages/gateway/credit_service_base.hpp
@@ -44,9 +44,12 @@
      *  hold the customers' budgets in this data centre. */
     void take_fleet(std::vector<fleet_vm> fleet,
                     const std::vector<customer_id>& customers);
-    /** Asks for tokens that a request lacks; suspends the fiber.
+    /** Asks for tokens that a request lacks; suspends the fiber, unless
+     *  another one asks already and takes this request in.
      *  @return False if no VM gave them. */
     bool ask(const customer_id& customer, token_count tokens);
+    /** Holds what this VM took from its own share. */
+    void keep(const credit_gift& gift);
     /** Gives back all credit. */
     void close();
 
@@ -67,6 +70,15 @@
     {
         time_point until{}; ///< Not asked before.
         time_point forgotten{};
+        int times = 0;
+    };
+
+    /** What requests lack of a customer's budget. */
+    struct demand
+    {
+        token_count least = 0; ///< Of the smallest request.
+        token_count all = 0;
+        bool asking = false;
     };
 
     void on_opened(socket_number number, bool outgoing);
@@ -81,6 +93,7 @@
     void give_back(const std::vector<credit_return>& credit);
     void report_used();
     bool send_home(const customer_id& customer, const credit_message& message);
+    bool ask_homes(const customer_id& customer, const demand& wanted);
     std::optional<token_count> ask_one(const fleet_vm& home, credit_ask ask);
     [[nodiscard]] std::vector<fleet_vm> homes(const customer_id& customer);
     /** Opens a connection if there is none; suspends the fiber. */
@@ -96,6 +109,7 @@
     std::map<std::string, socket_number> sockets_; ///< By IP:PORT.
     std::map<std::string, silence> silent_;
     std::map<std::uint64_t, pending_ask*> pending_;
+    std::map<customer_id, demand> demands_;
     std::uint64_t last_number_ = 0;
     bool closing_ = false;
     peer_socket peers_;
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -179,7 +179,7 @@
     const auto until = std::min(started_ + duration(grant_wait), deadline_);
     const auto charge = head_.largest_charge();
     if (budget_left() < charge ||
-        !shared_.purse.may_grow(customer_->id, started_))
+        !shared_.purse.may_grow(customer_->id, charge, started_))
         return false;
     shared_.control.want_grant(customer_->id, charge);
     while (shared_.clock.now() < until && !client_.closed()) {
--- a/packages/gateway/gateway_settings_type.hpp
+++ b/packages/gateway/gateway_settings_type.hpp
@@ -39,6 +39,7 @@
     std::uint32_t store_writes_per_s = 400; ///< Of all VMs together.
     std::uint16_t metrics_port = 9464;
     std::uint64_t memory_mb = 0;
+    double cores = 1; ///< Processor time that this VM may use.
     std::uint32_t max_descriptors = 1'024;
     retry_budget_options retries;
     std::chrono::milliseconds drain_grace{8'000}; ///< SIGTERM to SIGKILL.
--- a/packages/ledger/ledger_keeper_base.cpp
+++ b/packages/ledger/ledger_keeper_base.cpp
@@ -66,9 +66,9 @@
         wallet_terms terms{share, clock.now, offset(customer)};
         purse_.propose(customer, terms);
         share = terms.share;
-        if (share.granted - share.spent - share.held <
-            wish.usage.at(customer).missing)
-            short_.push_back(customer);
+        const auto there = share.granted - share.spent - share.held;
+        if (there < wish.usage.at(customer).missing)
+            short_[customer] = there + 1;
     }
     sent_.push_back({member.beat, clock.now});
     if (sent_.size() > max_remembered)
--- a/packages/ledger/ledger_keeper_base.hpp
+++ b/packages/ledger/ledger_keeper_base.hpp
@@ -63,8 +63,8 @@
     [[nodiscard]] std::uint32_t live_vms() const;
     /** @return True once a write of this run is in the ledger. */
     [[nodiscard]] bool joined() const { return joined_; }
-    /** @return Customers whose missing tokens the last write did not cover. */
-    [[nodiscard]] const std::vector<customer_id>& short_customers() const
+    /** @return By customer that is short, the least that is not there. */
+    [[nodiscard]] const std::map<customer_id, token_count>& shortages() const
     {
         return short_;
     }
@@ -107,7 +107,7 @@
     std::deque<own_write> own_writes_;
     /** Spending of this run that others have closed. */
     std::map<customer_id, token_count> offsets_;
-    std::vector<customer_id> short_;
+    std::map<customer_id, token_count> short_;
     bool joined_ = false;
     bool fresh_ = false;
 };
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -154,17 +154,22 @@
     return found->second.limit(now) - usage.spent - usage.reserved;
 }
 
-void wallet::note_short(const customer_id& customer, time_point until)
+void wallet::note_short(const customer_id& customer, token_count tokens,
+                        time_point until)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    entries_[customer].short_until = until;
+    auto& known = entries_[customer];
+    known.short_of = tokens;
+    known.short_until = until;
 }
 
-bool wallet::may_grow(const customer_id& customer, time_point now) const
+bool wallet::may_grow(const customer_id& customer, token_count tokens,
+                      time_point now) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto found = entries_.find(customer);
-    return found == entries_.end() || found->second.short_until <= now;
+    return found == entries_.end() || found->second.short_until <= now ||
+           tokens < found->second.short_of;
 }
 
 void wallet::note_consumed(const customer_id& customer, token_count tokens)
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -73,11 +73,12 @@
     /** @return Tokens that may still be reserved. */
     [[nodiscard]] token_count headroom(const customer_id& customer,
                                        time_point now) const;
-    /** Notes that a renewal could not cover what was missing.
+    /** Notes that so many tokens, or more, are asked for in vain.
      *  @param until Earliest time at which asking again may help. */
-    void note_short(const customer_id& customer, time_point until);
-    /** @return True if asking for more headroom may help now. */
-    [[nodiscard]] bool may_grow(const customer_id& customer,
+    void note_short(const customer_id& customer, token_count tokens,
+                    time_point until);
+    /** @return True if asking for so many tokens may help now. */
+    [[nodiscard]] bool may_grow(const customer_id& customer, token_count tokens,
                                 time_point now) const;
     /** Notes what the whole fleet has consumed; it never shrinks. */
     void note_consumed(const customer_id& customer, token_count tokens);
@@ -90,6 +91,7 @@
         wallet_usage usage;
         std::vector<wallet_terms> terms; ///< All of them bind.
         token_count consumed = 0;
+        token_count short_of = 0; ///< Not there until short_until.
         time_point short_until{};
         time_point first_seen{};
         token_count rated_spent = 0;
--- a/packages/router/fleet_presence_base.hpp
+++ b/packages/router/fleet_presence_base.hpp
@@ -19,6 +19,7 @@
     dc_id data_centre;
     std::string address;    ///< IP number where other VMs reach it.
     std::uint16_t port = 0; ///< 0 if it has none for them.
+    double cores = 1;       ///< Processor time that it may use.
 
     bool operator==(const vm_presence&) const = default;
 };
--- a/packages/router/router_json_func.cpp
+++ b/packages/router/router_json_func.cpp
@@ -8,7 +8,7 @@
 
 // A VM of another version counts too, whatever it says beside this.
 ROSEMARYDECK_JSON_WITH_DEFAULT(vm_presence, run, beat, data_centre, address,
-                               port)
+                               port, cores)
 
 void to_json(nlohmann::json& json, const vm_crashes& value)
 {
