Give waiting requests half of the headroom, send the rest to other VMs

And 503 for lack of headroom said 1 s, which is past the target latency, although another VM mostly has headroom while much of the budget is left; retries reach other VMs. Change: half of the headroom for requests that wait; Retry-After 0.1 s while 20 times the request is left.

--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -22,6 +22,10 @@
 constexpr auto soon = milliseconds(300);
 /** Other VMs give back headroom with their next renewal. */
 constexpr auto after_renewal = milliseconds(1'000);
+/** Where much of a budget is left, the next VM probably has some of it. */
+constexpr auto at_another_vm = milliseconds(100);
+/** So many requests of the size make it much. */
+constexpr token_count much_left = 20;
 /** A request that crashes engines is forgotten after about this time. */
 constexpr auto after_crashes = milliseconds(60'000);
 /** Below this no engine can start, let alone answer. */
@@ -155,7 +159,8 @@
         refuse(402, counter::refused_budget_spent, "budget_spent");
     else
         refuse(503, counter::refused_budget_unknown, "no_headroom",
-               after_renewal);
+               budget_left() > charge * much_left ? at_another_vm
+                                                  : after_renewal);
     return false;
 }
 
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -18,7 +18,9 @@
 constexpr auto least_rate_span = std::chrono::milliseconds(500);
 /** Part of the largest reservation that is forgotten at each reading. */
 constexpr double largest_decay = 0.1;
-/** Of the headroom, another VM gets at most one in so many ahead of need. */
+/** Of the headroom, another VM gets at most one in so many for requests that
+ *  wait there, and ahead of need. */
+constexpr token_count need_divisor = 2;
 constexpr token_count ahead_divisor = 16;
 
 } // namespace
@@ -65,8 +67,8 @@
         usage.missing = std::max(usage.missing, least);
         return 0;
     }
-    const auto ahead = std::min(wish, headroom / ahead_divisor);
-    const auto taken = std::max({least, ahead, token_count{0}});
+    const auto most = headroom / (least > 0 ? need_divisor : ahead_divisor);
+    const auto taken = std::max({least, std::min(wish, most), token_count{0}});
     usage.spent += taken;
     usage.lent += taken;
     return taken;
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -51,8 +51,9 @@
                 token_count used);
 
     /**
-     * Charges tokens that another VM is to use. Ahead of need it gets a small
-     * part of what is left here, since others will ask too.
+     * Charges tokens that another VM is to use. It gets a part of what is left
+     * here, and a small one ahead of need, since others will ask too.
+     * @param least Of use to one request that waits; 0 if none does.
      * @return Their amount; 0 if @p least aren't there.
      */
     token_count take(const customer_id& customer, token_count least,
