Count the time for lapsed engines from the store's return

The store was back at 11.8 s, but the watch on engines came to know of it only with its next answer, a new list at 15.2 s, and kept engines that were missing from it for 1.8 s from then on. Ruled out: the pause of 300 ms between answers of that watch; the wait was 3.4 s. Change: the grace time counts from when this VM saw the store return. A VM that drains leaves the list of running VMs, so that others ask the next one for credit; the first VM of a fleet knows itself.

--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -245,6 +245,7 @@
     closing_ = true;
     if (budgets_known_ && layout_->parts > 1) {
         credits_.close();
+        leave_fleet();
         fiber_sleep(io_, return_span);
     }
     for (const auto& [number, part] : parts_)
--- a/packages/gateway/control_presence.cpp
+++ b/packages/gateway/control_presence.cpp
@@ -77,9 +77,9 @@
         }
     }
     presence_.take(entries, clock_.now());
-    std::vector<fleet_vm> fleet;
+    std::vector<fleet_vm> fleet{self()};
     for (const auto& [vm, entry] : presence_.live(clock_.now()))
-        if (entry.port != 0)
+        if (entry.port != 0 && vm != options_.settings.vm)
             fleet.push_back({vm, entry.data_centre, entry.address, entry.port,
                              entry.cores});
     credits_.take_fleet(std::move(fleet),
@@ -87,6 +87,18 @@
     join_own_parts();
 }
 
+void control_service::leave_fleet()
+{
+    if (store_.down())
+        return;
+    // Others then ask the next VM at once; without an answer they do so once
+    // this one has been silent for long enough.
+    const auto reply = store_.call(platform::remove_call(
+        platform::presence_kind, options_.settings.vm.value()));
+    if (!reply)
+        log_.write("presence_left", {{"why", describe(reply.error().cause)}});
+}
+
 void control_service::remove_forgotten()
 {
     for (const auto& vm : presence_.forgotten(clock_.now())) {
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -85,8 +85,10 @@
 {
     if (closing_ || !config_ || !engines_known_ || !budgets_known_)
         return false;
-    // A single ledger holds headroom for all customers before they come.
-    return layout_->parts > 1 || parts_.at(0)->joined();
+    // A single ledger holds headroom for all customers before they come;
+    // otherwise the other VMs must be known, to ask them.
+    return layout_->parts > 1 ? presence_.live_vms(clock_.now()) > 0
+                              : parts_.at(0)->joined();
 }
 
 void control_service::follow(const std::string& kind)
@@ -154,9 +156,8 @@
         if (engine)
             listed.push_back(*engine);
     }
-    if (std::exchange(seen_recoveries_, store_.recoveries()) !=
-        store_.recoveries())
-        directory_.outage_ended(clock_.now());
+    if (store_.recovered())
+        directory_.outage_ended(*store_.recovered());
     directory_.replace(listed, clock_.now());
     engines_known_ = true;
     log_.write("engines_listed", {{"engines", listed.size()},
@@ -179,10 +180,8 @@
             revision = 0;
         return false;
     }
-    if (kind == platform::engine_kind &&
-        std::exchange(seen_recoveries_, store_.recoveries()) !=
-            store_.recoveries())
-        directory_.outage_ended(clock_.now());
+    if (kind == platform::engine_kind && store_.recovered())
+        directory_.outage_ended(*store_.recovered());
     revision = changes->revision;
     apply(kind, changes->events);
     return true;
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -85,6 +85,7 @@
     bool beat();
     void list_presence();
     void remove_forgotten();
+    void leave_fleet();
     bool put_own(const char* kind, const nlohmann::json& spec,
                  std::uint64_t& revision);
     void apply_crashes(const platform::store_event& event);
@@ -102,7 +103,6 @@
     std::shared_ptr<const config_index> config_;
     engine_directory directory_;
     bool engines_known_ = false;
-    std::uint64_t seen_recoveries_ = 0;
     std::optional<ledger_layout> layout_;
     std::map<std::uint32_t, std::unique_ptr<budget_part>> parts_;
     bool budgets_known_ = false; ///< Where they stand, not what is left.
--- a/packages/gateway/store_link_base.cpp
+++ b/packages/gateway/store_link_base.cpp
@@ -73,7 +73,7 @@
         if (!down_)
             return;
         down_ = false;
-        ++recoveries_;
+        recovered_ = clock_.now();
         log_.write("store_regained", {{"away_ms", clock_.now() - lost_at_}});
         return;
     }
--- a/packages/gateway/store_link_base.hpp
+++ b/packages/gateway/store_link_base.hpp
@@ -45,8 +45,11 @@
     tl::expected<store_reply, http_failure>
     call(const platform::store_call& call, std::chrono::milliseconds wait = {});
 
-    /** @return Outages that have ended since the start. */
-    [[nodiscard]] std::uint64_t recoveries() const { return recoveries_; }
+    /** @return When the last outage ended; none if there was none. */
+    [[nodiscard]] std::optional<time_point> recovered() const
+    {
+        return recovered_;
+    }
     /** @return True while the last call went unanswered. */
     [[nodiscard]] bool down() const { return down_; }
 
@@ -62,7 +65,7 @@
     boost::fibers::mutex trying_;
     bool down_ = false;
     std::uint32_t failures_ = 0;
-    std::uint64_t recoveries_ = 0;
+    std::optional<time_point> recovered_;
     time_point lost_at_{};
 };
 
