Take out holding nothing for customers without traffic

Ledgers by customer are drawn on by a few VMs, so the switch that cells needed is set nowhere. No change of behaviour: with the switch as it always stood all tests pass as before. Deliberate breaks are caught: a wallet that forgets what it gave away (overspend, after 6 tests), a purse that keeps what was used (conservation, after 31).

--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -124,8 +124,6 @@
                  std::size_t vms)
 {
     const auto& policy = wish.policy;
-    const bool unseen =
-        !policy.hold_unseen && usage.largest == 0 && usage.spent == 0;
     auto& own = account.shares[wish.self];
     own.spent = usage.spent;
     own.held = usage.reserved;
@@ -134,7 +132,7 @@
     auto sums = sum_up(account, wish.self);
     const auto rest = std::max<token_count>(0, prepaid - sums.spent);
     const auto each = rest / static_cast<token_count>(vms);
-    own.wanted = unseen ? 0 : wanted_by(usage, policy, each);
+    own.wanted = wanted_by(usage, policy, each);
     sums.wanted += own.wanted;
     auto part = static_cast<double>(own.wanted) /
                 static_cast<double>(std::max<token_count>(1, sums.wanted));
@@ -143,7 +141,7 @@
         part = std::min(part, 1.0 / static_cast<double>(vms));
     const auto spread = policy.spread_share * part * static_cast<double>(rest);
     const auto unknown =
-        holds_requests(each, policy) && !unseen
+        holds_requests(each, policy)
             ? std::max(0.0, 1.0 - usage.history / policy.history_seconds)
             : 0.0;
     const auto headroom = static_cast<token_count>(std::min(
@@ -164,8 +162,6 @@
     const auto guess = unknown * static_cast<double>(headroom);
     own.open = std::max(own.open, static_cast<token_count>(guess / 12));
     own.slope = std::max(own.slope, static_cast<token_count>(guess / 10));
-    if (unseen && own.granted == 0)
-        account.shares.erase(wish.self);
 }
 
 } // namespace
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -25,9 +25,6 @@
     double open_largest = 1.0;  ///< Largest requests open besides.
     double slope_factor = 1.5;  ///< Opening against the rate.
     double spread_share = 0.85; ///< Of what is left, divided by demand.
-    /** Customers without traffic hold a request, and a part of what is left,
-     *  on each VM. Off where there are too many VMs for that. */
-    bool hold_unseen = true;
     /** Least number of VMs that a customer's unknown demand is divided by. */
     std::size_t least_vms = 1;
     token_count request = 9'000; ///< A usual one, where none has been seen.
--- a/packages/ledger/ledger_keeper_base.cpp
+++ b/packages/ledger/ledger_keeper_base.cpp
@@ -59,10 +59,7 @@
     auto& next = renewed.next;
     for (const auto& [customer, total] : prepaid) {
         auto& shares = next.accounts[customer].shares;
-        const auto own = shares.find(options_.self);
-        if (own == shares.end())
-            continue; // Without traffic here nothing is granted.
-        auto& share = own->second;
+        auto& share = shares[options_.self];
         wallet_terms terms{share, clock.now, offset(customer)};
         purse_.propose(customer, terms);
         share = terms.share;
