Close kept connections whose answers began before a drain

An answer that begins before the drain promises to keep its connection, and connections that are busy when idle ones are closed stayed open afterwards. Ruled out: the port, closed at 2.6 s, and answers that begin during the drain, which say that they close. Change: such a connection is closed after its answer unless a request has been read on it. The new case fails before (no end within 2 s) and passes after.

--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -48,6 +48,10 @@
         serving_ = false;
         if (next == after_request::close)
             break;
+        // The answer may have promised to keep the connection before a drain
+        // began. A request that was read meanwhile is still served.
+        if (shared_.draining && stream_->buffer().size() == 0)
+            break;
     }
     if (!stream_->closed())
         stream_->close();
--- a/tests/daemons/gateway_test.py
+++ b/tests/daemons/gateway_test.py
@@ -226,6 +226,34 @@
         self.assertEqual(self.ledger()["shares"], {})
         self.assertEqual(self.ledger()["closed"], 106)
 
+    def test_a_drain_closes_connections_whose_answers_began_before(self):
+        first, second = threading.Event(), threading.Event()
+
+        def held(run):
+            run.begin_stream()
+            run.event(1)
+            (first if run is engine.runs[0] else second).wait(20)
+            run.event(2)
+            run.end_stream()
+        engine, = self.serve(held)
+        client, other = Client(self.port), Client(self.port)
+        reply, last = client.chat(), other.chat()
+        self.process.send_signal(signal.SIGTERM)
+        # Idle connections are closed together with the port; these are busy.
+        fleet.wait_until(self.port_is_closed, 20, "no more connections")
+        first.set()
+        self.assertIn(b"piece 2", reply.read())
+        # The other stream keeps the process. A request on this connection
+        # would be cut off at the end of the grace time.
+        client.connection.sock.settimeout(2)
+        self.assertEqual(client.connection.sock.recv(1), b"")
+        second.set()
+        self.assertIn(b"piece 2", last.read())
+
+    def port_is_closed(self):
+        with socket.socket() as probe:
+            return probe.connect_ex(("127.0.0.1", self.port)) != 0
+
     def test_changed_settings_are_read_again_and_bad_ones_refused(self):
         self.serve(self.two_events)
         path = pathlib.Path(self.folder) / "settings.toml"
