Take VMs with a full link out of rotation and grant whole bursts

In its first second 38 requests were refused for headroom although the home VM held a grant of 31.9M tokens: a credit request asked for the smallest waiting request, the rest of the burst was forgotten, and the lender renewed only once its headroom was below that smallest request.

Change: link_load (packages/router) measures the bytes that pass the link against its capacity. Credit requests repeat until all waiting requests are covered, and a lender that covers only a part renews for the rest at once.

--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -32,8 +32,8 @@
 
 client_connection::client_connection(traffic_context& context,
                                      boost::asio::ip::tcp::socket socket)
-    : context_(context),
-      stream_(std::make_shared<client_stream>(std::move(socket)))
+    : context_(context), stream_(std::make_shared<client_stream>(
+                             std::move(socket), context.link_bytes))
 {
 }
 
--- a/packages/gateway/client_stream_base.cpp
+++ b/packages/gateway/client_stream_base.cpp
@@ -18,8 +18,10 @@
 
 } // namespace
 
-client_stream::client_stream(boost::asio::ip::tcp::socket socket)
-    : socket_(std::move(socket)), timer_(socket_.get_executor())
+client_stream::client_stream(boost::asio::ip::tcp::socket socket,
+                             link_traffic& traffic)
+    : socket_(std::move(socket)), traffic_(traffic),
+      timer_(socket_.get_executor())
 {
     enable_dead_peer_detection(socket_, dead_peer_timeout);
 }
@@ -34,6 +36,7 @@
         [self = shared_from_this()](const boost::system::error_code& fault,
                                     std::size_t bytes) {
             self->read_pending_ = false;
+            self->traffic_.received += bytes;
             if (fault)
                 return self->handle_end();
             const auto space = self->buffer_.prepare(bytes);
@@ -98,6 +101,7 @@
     });
     ++operation_;
     timer_.cancel();
+    traffic_.sent += done.bytes;
     if (done.fault)
         closed_ = true;
     return !done.fault;
--- a/packages/gateway/client_stream_base.hpp
+++ b/packages/gateway/client_stream_base.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "common/time_type.hpp"
+#include "router/link_load_base.hpp"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,7 +23,8 @@
 class client_stream : public std::enable_shared_from_this<client_stream>
 {
 public:
-    explicit client_stream(boost::asio::ip::tcp::socket socket);
+    /** @param traffic Counts the bytes read and written; outlives this. */
+    client_stream(boost::asio::ip::tcp::socket socket, link_traffic& traffic);
 
     /** @return Bytes that were read and not yet consumed. */
     boost::beast::flat_buffer& buffer() { return buffer_; }
@@ -63,6 +65,7 @@
     void handle_end();
 
     boost::asio::ip::tcp::socket socket_;
+    link_traffic& traffic_;
     boost::asio::steady_timer timer_;
     boost::beast::flat_buffer buffer_;
     std::array<char, 8'192> read_chunk_{};
--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -187,8 +187,17 @@
                                   clock_.now()) &&
                *total - reply.consumed >= request.min_tokens;
     };
-    if (try_lend())
+    if (try_lend()) {
+        // The rest of a burst is granted ahead of the next request for it.
+        if (request.min_tokens > 0 && reply.tokens < request.wanted_tokens &&
+            !store_.down()) {
+            wallet_.record_unmet(request.customer,
+                                 request.wanted_tokens - reply.tokens);
+            open_shard(shard_of(*layout_, request.customer)).renew_soon();
+        }
         return reply;
+    }
+    wallet_.record_unmet(request.customer, request.wanted_tokens);
     if (renewal_may_help())
         open_shard(shard_of(*layout_, request.customer)).renew_soon();
     while (renewal_may_help()) {
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -49,6 +49,10 @@
                [this](const credit_request& request) {
                    return grant_credit(request);
                },
+           .waiting_tokens =
+               [this](const customer_id& customer) {
+                   return wallet_.waiting(customer);
+               },
            .record_usage =
                [this](const credit_usage& usage) {
                    wallet_.record_credit_usage(usage.customer, usage.tokens);
@@ -88,9 +92,26 @@
     fiber(launch::post, [this] { run_housekeeping(); }).detach();
 }
 
+bool control_service::update_rotation(bool overloaded, double utilization)
+{
+    auto& outside = own_presence_.out_of_rotation;
+    if (overloaded == outside || closing_ ||
+        (overloaded && !presence_.may_leave_rotation(
+                           options_.settings.data_centre, clock_.now())))
+        return outside;
+    outside = overloaded;
+    log_.write(outside ? "rotation_left" : "rotation_joined",
+               {{"link_percent", static_cast<int>(utilization * 100)}});
+    boost::fibers::fiber(boost::fibers::launch::post, [this] {
+        send_heartbeat();
+    }).detach();
+    return outside;
+}
+
 bool control_service::ready() const
 {
-    if (closing_ || !config_ || !engines_loaded_ || !budgets_started_)
+    if (own_presence_.out_of_rotation || closing_ || !config_ ||
+        !engines_loaded_ || !budgets_started_)
         return false;
     // A single shard grants headroom for all customers in advance. With more
     // of them, headroom comes from other VMs, so these must be known.
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -47,6 +47,10 @@
      *  also removes this VM's presence entry. Suspends the fiber. */
     void close_budgets();
 
+    /** Leaves the load balancer's rotation while this VM is overloaded, if
+     *  enough VMs of its data centre stay, and joins it again afterwards.
+     *  @return True while this VM is out of rotation. */
+    bool update_rotation(bool overloaded, double utilization);
     /** @return True if this VM can serve clients. */
     [[nodiscard]] bool ready() const;
 
--- a/packages/gateway/credit_service_base.cpp
+++ b/packages/gateway/credit_service_base.cpp
@@ -136,35 +136,42 @@
 {
     auto& unmet = demands_[customer];
     unmet.min_tokens =
-        unmet.total == 0 ? tokens : std::min(unmet.min_tokens, tokens);
-    unmet.total += tokens;
+        unmet.requesting ? std::min(unmet.min_tokens, tokens) : tokens;
     if (std::exchange(unmet.requesting, true))
         return true;
     bool granted = true;
-    while (granted && unmet.total > 0) {
-        const auto wanted = std::exchange(unmet, {.requesting = true});
-        granted = request_from_homes(customer, wanted);
-        if (!granted)
-            log_.write("credit_short", {{"customer", customer.value()},
-                                        {"asked", wanted.min_tokens},
-                                        {"all", wanted.total},
-                                        {"vms", fleet_.size()}});
+    while (true) {
+        const auto total = options_.waiting_tokens(customer);
+        if (total <= credit_pool_.free(customer))
+            break;
+        const auto smallest = std::min(unmet.min_tokens, total);
+        granted = request_from_homes(customer, smallest, total);
+        // A smaller request that came meanwhile may still be covered.
+        if (granted || unmet.min_tokens < smallest)
+            continue;
+        log_.write("credit_short", {{"customer", customer.value()},
+                                    {"asked", smallest},
+                                    {"all", total},
+                                    {"vms", fleet_.size()}});
+        break;
     }
     unmet = {};
     return granted;
 }
 
 bool credit_service::request_from_homes(const customer_id& customer,
-                                        const demand& wanted)
+                                        token_count min_tokens,
+                                        token_count wanted_tokens)
 {
     for (const auto& home : reachable_homes(customer)) {
         // Credit already held reduces the request.
         const auto held = credit_pool_.free(customer);
-        if (wanted.min_tokens <= held)
+        if (wanted_tokens <= held)
             return true;
         const auto granted =
             request_from(home, {++last_number_, customer,
-                                wanted.min_tokens - held, wanted.total - held});
+                                std::max<token_count>(1, min_tokens - held),
+                                wanted_tokens - held});
         if (granted.value_or(0) > 0)
             return true;
     }
--- a/packages/gateway/credit_service_base.hpp
+++ b/packages/gateway/credit_service_base.hpp
@@ -22,6 +22,8 @@
     /** Charges tokens to this VM's grant for another VM to use; suspends the
      *  fiber. */
     std::function<credit_reply(const credit_request&)> grant_credit;
+    /** @return Tokens of the client requests that wait for headroom. */
+    std::function<token_count(const customer_id&)> waiting_tokens;
     /** Records that other VMs have used credit that this one granted. */
     std::function<void(const credit_usage&)> record_usage;
     /** Records how much of a customer's budget the fleet has consumed. */
@@ -44,9 +46,9 @@
      *  this data centre. */
     void update_fleet(std::vector<fleet_vm> fleet,
                       const std::vector<customer_id>& customers);
-    /** Requests tokens that a client's request lacks; suspends the fiber. If
-     *  another fiber is requesting for the customer, adds to its demand and
-     *  returns at once.
+    /** Requests tokens for the customer's waiting requests; suspends the
+     *  fiber. Returns at once if another fiber is requesting for them.
+     *  @param tokens Lacked by the request that calls.
      *  @return False if no VM granted them. */
     bool request_credit(const customer_id& customer, token_count tokens);
     /** Adds credit that was charged to this VM's own grant. */
@@ -75,12 +77,11 @@
         int missed = 0;            ///< Answers missed in a row.
     };
 
-    /** Tokens that clients' requests lack for one customer. */
+    /** Requests of clients that lack tokens of one customer. */
     struct demand
     {
-        token_count min_tokens = 0; ///< Lacked by the smallest request.
-        token_count total = 0;      ///< Lacked by all requests.
-        bool requesting = false;    ///< A fiber is requesting them.
+        token_count min_tokens = 0; ///< Size of the smallest one.
+        bool requesting = false;    ///< A fiber requests credit for them.
     };
 
     void on_opened(socket_number number, bool outgoing);
@@ -96,7 +97,8 @@
     void report_used();
     bool send_to_home(const customer_id& customer,
                       const credit_message& message);
-    bool request_from_homes(const customer_id& customer, const demand& wanted);
+    bool request_from_homes(const customer_id& customer, token_count min_tokens,
+                            token_count wanted_tokens);
     std::optional<token_count> request_from(const fleet_vm& home,
                                             credit_request request);
     [[nodiscard]] std::vector<fleet_vm>
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -56,7 +56,8 @@
     request_head_ = platform::decode_request(request_);
     initial_event_id_ = last_event_id_ = request_head_.resume_after.value_or(0);
     view_ = context_.view;
-    keep_alive_ = request_.keep_alive() && !context_.draining;
+    keep_alive_ = request_.keep_alive() && !context_.draining &&
+                  !context_.out_of_rotation;
     client_.set_close_handler([this] { cancel_send(); });
     client_.start_read();
     if (admit()) {
@@ -198,13 +199,16 @@
     if (remaining_budget() < charge ||
         !context_.local_wallet.may_obtain(customer_->id, charge, started_))
         return false;
+    context_.local_wallet.begin_wait(customer_->id, charge);
     context_.control.request_budget(customer_->id, charge);
-    while (context_.clock.now() < wait_deadline && !client_.closed()) {
+    bool reserved = false;
+    while (!reserved && context_.clock.now() < wait_deadline &&
+           !client_.closed()) {
         fiber_sleep(context_.io, headroom_poll_interval);
-        if (try_reserve(charge))
-            return true;
+        reserved = try_reserve(charge);
     }
-    return false;
+    context_.local_wallet.end_wait(customer_->id, charge);
+    return reserved;
 }
 
 void exchange::serve()
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -171,7 +171,9 @@
     // whole request.
     boost::asio::async_write(
         connection->socket, boost::asio::buffer(connection->outgoing),
-        [connection](const boost::system::error_code& fault, std::size_t) {
+        [connection, &traffic = context_.link_bytes](
+            const boost::system::error_code& fault, std::size_t bytes) {
+            traffic.sent += bytes;
             connection->sending = fault.failed();
         });
     answer_parser parser;
@@ -194,6 +196,7 @@
                               engine_connection_->buffer, parser,
                               std::move(handler));
     });
+    context_.link_bytes.received += read.bytes;
     return !read.fault;
 }
 
@@ -204,6 +207,7 @@
                                 engine_connection_->buffer, parser,
                                 std::move(handler));
     });
+    context_.link_bytes.received += read.bytes;
     if (read.fault)
         return {send_outcome::broken};
     const auto head = platform::decode_answer(parser.get(), request_head_.id);
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -32,6 +32,9 @@
 constexpr auto shutdown_reserve = milliseconds(700);
 /** Interval of checks while draining, and pause after a failed accept. */
 constexpr auto poll_interval = milliseconds(50);
+/** Interval at which an overload is looked for; several for each of the load
+ *  balancer's checks. */
+constexpr auto load_poll_interval = milliseconds(125);
 constexpr auto settings_poll_interval = milliseconds(2'000);
 constexpr auto connection_idle_timeout = std::chrono::seconds(10);
 
@@ -71,6 +74,9 @@
     boost::fibers::fiber(boost::fibers::launch::post, [this] {
         watch_settings();
     }).detach();
+    boost::fibers::fiber(boost::fibers::launch::post, [this] {
+        watch_load();
+    }).detach();
     await_signals();
     return exit_code_.take();
 }
@@ -233,6 +239,19 @@
     }
 }
 
+void gateway::watch_load()
+{
+    bool outside = false;
+    while (true) {
+        fiber_sleep(io_, load_poll_interval);
+        const bool before = std::exchange(
+            outside, control_->update_rotation(traffic_->link_overloaded(),
+                                               traffic_->link_utilization()));
+        if (outside != before)
+            traffic_->set_out_of_rotation(outside);
+    }
+}
+
 void gateway::drain()
 {
     const auto drain_start = clock_.now();
--- a/packages/gateway/gateway_base.hpp
+++ b/packages/gateway/gateway_base.hpp
@@ -35,6 +35,7 @@
     void await_signals();
     void reload(const char* cause);
     void watch_settings();
+    void watch_load();
     void drain();
 
     gateway_settings settings_;
--- a/packages/gateway/gateway_settings_type.hpp
+++ b/packages/gateway/gateway_settings_type.hpp
@@ -43,6 +43,9 @@
     std::uint64_t memory_mb = 0;       ///< Memory that this VM may use.
     double cores = 1; ///< Processor cores that this VM may use.
     std::uint32_t max_descriptors = 1'024; ///< File descriptors it may open.
+    /** Capacity of this VM's network link in each direction, in bits per
+     *  second; 0 if unknown. */
+    double link_bits_per_s = 0;
     retry_budget_options retries;
     /** Time from SIGTERM to SIGKILL. */
     std::chrono::milliseconds termination_grace_period{8'000};
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -8,6 +8,7 @@
 #include "gateway/gateway_settings_type.hpp"
 #include "ledger/wallet_base.hpp"
 #include "router/engine_selector_base.hpp"
+#include "router/link_load_base.hpp"
 #include "router/retry_budget_base.hpp"
 
 #include <functional>
@@ -46,7 +47,11 @@
     engine_selector selector{};
     retry_budget retries{settings.retries};
     engine_connection_pool connection_pool{io};
-    bool draining = false;         ///< Answers close their connections.
+    bool draining = false; ///< Answers close their connections.
+    /** The load balancer sends no new clients. Answers close their connections,
+     *  so that the clients move to other VMs. */
+    bool out_of_rotation = false;
+    link_traffic link_bytes{};     ///< Passed to and from clients and engines.
     std::size_t open_requests = 0; ///< Client requests being handled.
 };
 
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t fiber_stack_bytes = 65'536;
 constexpr auto housekeeping_interval = milliseconds(1'000);
+/** Interval at which the link's load is measured. */
+constexpr auto link_sample_interval = milliseconds(125);
 /** Pause after a failed accept. */
 constexpr auto accept_backoff = milliseconds(50);
 
@@ -30,7 +32,8 @@
                .credit = credit,
                .log = log,
                .metrics = metrics,
-               .control = std::move(callbacks)}
+               .control = std::move(callbacks)},
+      link_({.bytes_per_s = settings.link_bits_per_s / 8})
 {
 }
 
@@ -50,6 +53,7 @@
 {
     boost::fibers::use_scheduling_algorithm<fiber_scheduler>(io_);
     run_housekeeping();
+    watch_link();
     accept_clients();
 }
 
@@ -110,6 +114,24 @@
     boost::asio::post(io_, [this] { context_.draining = true; });
 }
 
+void traffic_service::set_out_of_rotation(bool outside)
+{
+    boost::asio::post(io_,
+                      [this, outside] { context_.out_of_rotation = outside; });
+}
+
+void traffic_service::watch_link()
+{
+    link_.record(context_.link_bytes, context_.clock.now());
+    link_overloaded_ = link_.overloaded();
+    link_utilization_ = link_.utilization();
+    link_timer_.expires_after(link_sample_interval);
+    link_timer_.async_wait([this](const boost::system::error_code& stopped) {
+        if (!stopped)
+            watch_link();
+    });
+}
+
 void traffic_service::close_idle_connections()
 {
     boost::asio::post(io_, [this] {
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -28,6 +28,18 @@
     void configure(const gateway_settings& settings);
     /** Makes all further answers close their connections. */
     void begin_drain();
+    /** Makes further answers close their connections, or keep them again. */
+    void set_out_of_rotation(bool outside);
+    /** @return True while clients send more than this VM's link carries. */
+    [[nodiscard]] bool link_overloaded() const
+    {
+        return link_overloaded_.load();
+    }
+    /** @return Part of the link's capacity that is used. */
+    [[nodiscard]] double link_utilization() const
+    {
+        return link_utilization_.load();
+    }
     /** Closes the port and all connections that have no request. */
     void close_idle_connections();
     /** @return Number of client requests in progress, as of the last
@@ -45,13 +57,19 @@
     /** Updates open_requests() and closes stale engine connections. Runs
      *  periodically, and more often during a drain. */
     void run_housekeeping();
+    /** Updates the load of the link; runs several times a second. */
+    void watch_link();
 
     boost::asio::io_context io_{1};
     boost::asio::ip::tcp::acceptor acceptor_{io_};
     boost::asio::steady_timer housekeeping_timer_{io_};
+    boost::asio::steady_timer link_timer_{io_};
     traffic_context context_;
     std::set<client_connection*> connections_;
     std::atomic<std::size_t> open_requests_{0};
+    link_load link_;
+    std::atomic<bool> link_overloaded_{false};
+    std::atomic<double> link_utilization_{0};
     std::thread thread_;
 };
 
--- a/packages/ledger/test/ledger_test.cpp
+++ b/packages/ledger/test/ledger_test.cpp
@@ -337,6 +337,36 @@
     CHECK_FALSE(local_wallet.reserve(other, 100'000, at(3ms).now));
 }
 
+TEST_CASE("One renewal covers a whole burst of waiting requests", "[writer]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(1'000'000, 0ms);
+    while (vm.local_wallet.reserve(acme, 12'000, at(1ms).now)) {
+    }
+    for (int number = 0; number < 20; ++number)
+        vm.local_wallet.begin_wait(acme, 12'000);
+    CHECK(vm.local_wallet.waiting(acme) == 240'000);
+    vm.renew(1'000'000, 2ms);
+    for (int number = 0; number < 20; ++number) {
+        CHECK(vm.local_wallet.reserve(acme, 12'000, at(3ms).now));
+        vm.local_wallet.end_wait(acme, 12'000);
+    }
+    CHECK(vm.local_wallet.waiting(acme) == 0);
+}
+
+TEST_CASE("A renewal covers what another VM's waiting requests lack",
+          "[writer]")
+{
+    lone_vm vm(options_of("a"));
+    vm.renew(1'000'000, 0ms);
+    const auto first = vm.local_wallet.lend(acme, 1'000, 200'000, at(1ms).now);
+    CHECK(first < 100'000);
+    vm.local_wallet.record_unmet(acme, 200'000 - first);
+    vm.renew(1'000'000, 2ms);
+    CHECK(vm.local_wallet.lend(acme, 200'000 - first, 0, at(3ms).now) ==
+          200'000 - first);
+}
+
 TEST_CASE("The first VM leaves part of a budget for later ones", "[writer]")
 {
     auto options = options_of("a");
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -76,6 +76,32 @@
     return lent;
 }
 
+void wallet::begin_wait(const customer_id& customer, token_count tokens)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    entries_[customer].waiting += tokens;
+}
+
+void wallet::end_wait(const customer_id& customer, token_count tokens)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    entries_[customer].waiting -= tokens;
+}
+
+token_count wallet::waiting(const customer_id& customer) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = entries_.find(customer);
+    return found == entries_.end() ? 0 : found->second.waiting;
+}
+
+void wallet::record_unmet(const customer_id& customer, token_count tokens)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto& unmet = entries_[customer].usage.unmet_demand;
+    unmet = std::max(unmet, tokens);
+}
+
 void wallet::record_credit_usage(const customer_id& customer,
                                  token_count tokens)
 {
@@ -115,7 +141,8 @@
     if (known.first_seen != time_point{})
         usage.seen_seconds =
             std::chrono::duration<double>(now - known.first_seen).count();
-    const auto result = usage;
+    auto result = usage;
+    result.unmet_demand = std::max(result.unmet_demand, known.waiting);
     usage.unmet_demand = 0;
     usage.max_reservation -= static_cast<token_count>(
         static_cast<double>(usage.max_reservation) * max_reservation_decay);
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -21,7 +21,8 @@
     token_count reserved = 0; ///< Tokens reserved for open requests.
     /** Largest recent request, accepted or refused; decays with each sample. */
     token_count max_reservation = 0;
-    /** Largest request refused since the last sample. */
+    /** Tokens of the requests that wait for headroom, or the largest request
+     *  refused since the last sample if that is more. */
     token_count unmet_demand = 0;
     double rate = 0;         ///< Spent tokens per second, smoothed.
     double seen_seconds = 0; ///< Seconds since the first request.
@@ -65,6 +66,15 @@
      */
     token_count lend(const customer_id& customer, token_count min_tokens,
                      token_count wanted_tokens, time_point now);
+    /** Adds a request to those that wait for headroom. The next sample counts
+     *  all of them, so that one renewal serves a whole burst. */
+    void begin_wait(const customer_id& customer, token_count tokens);
+    /** Removes a request that begin_wait() added. */
+    void end_wait(const customer_id& customer, token_count tokens);
+    /** @return Tokens of the requests that wait for headroom. */
+    [[nodiscard]] token_count waiting(const customer_id& customer) const;
+    /** Records tokens that another VM's waiting requests lack. */
+    void record_unmet(const customer_id& customer, token_count tokens);
     /** Records that other VMs have used lent tokens. */
     void record_credit_usage(const customer_id& customer, token_count tokens);
     /** Updates the smoothed rate, decays max_reservation and resets
@@ -101,6 +111,7 @@
     {
         wallet_usage usage;
         std::vector<wallet_terms> terms; ///< The lowest limit applies.
+        token_count waiting = 0;         ///< Tokens of waiting requests.
         token_count consumed = 0;        ///< Used by the whole fleet.
         token_count shortage_tokens = 0; ///< Unavailable until shortage_until.
         time_point shortage_until{};
--- a/packages/router/fleet_presence_base.cpp
+++ b/packages/router/fleet_presence_base.cpp
@@ -48,6 +48,19 @@
     return result;
 }
 
+bool fleet_presence::may_leave_rotation(const dc_id& own, time_point now) const
+{
+    std::size_t vms = 1;
+    std::size_t outside = 1;
+    for (const auto& [vm, entry] : live(now)) {
+        if (vm == options_.self || entry.data_centre != own)
+            continue;
+        ++vms;
+        outside += entry.out_of_rotation ? 1 : 0;
+    }
+    return outside * 3 <= vms;
+}
+
 std::vector<vm_id> fleet_presence::removable(time_point now) const
 {
     std::vector<vm_id> result;
--- a/packages/router/fleet_presence_base.hpp
+++ b/packages/router/fleet_presence_base.hpp
@@ -20,6 +20,8 @@
     std::string address;    ///< IP address for other VMs.
     std::uint16_t port = 0; ///< Port for other VMs; 0 if there is none.
     double cores = 1;       ///< Processor cores that the VM may use.
+    /** The VM has told the load balancer not to send new clients. */
+    bool out_of_rotation = false;
 
     bool operator==(const vm_presence&) const = default;
 };
@@ -56,6 +58,14 @@
     /** @return Entries of the VMs that may be running, that of this VM included
      *  as soon as it has been read. */
     [[nodiscard]] std::map<vm_id, vm_presence> live(time_point now) const;
+    /**
+     * Tells whether this VM may leave the load balancer's rotation: at most a
+     * third of a data centre's VMs may be out of it. The load balancer uses
+     * all VMs, overloaded ones included, once fewer than half are left.
+     * @param own Data centre of this VM.
+     */
+    [[nodiscard]] bool may_leave_rotation(const dc_id& own,
+                                          time_point now) const;
     /** @return VMs whose entries may be removed. */
     [[nodiscard]] std::vector<vm_id> removable(time_point now) const;
 
--- a/packages/router/router_json_func.cpp
+++ b/packages/router/router_json_func.cpp
@@ -8,7 +8,7 @@
 
 // Fields may be missing, so that VMs that run other versions count too.
 ROSEMARYDECK_JSON_WITH_DEFAULT(vm_presence, run, beat, data_centre, address,
-                               port, cores)
+                               port, cores, out_of_rotation)
 
 void to_json(nlohmann::json& json, const vm_crashes& value)
 {
--- a/tests/daemons/gateway_budget_test.py
+++ b/tests/daemons/gateway_budget_test.py
@@ -1,5 +1,6 @@
 """The router of the users' platform: budgets, outages, crashes, other VMs."""
 
+import concurrent.futures
 import contextlib
 import re
 import signal
@@ -257,6 +258,63 @@
                 lambda: Client(vms[borrower]["port"]).chat().status == 200,
                 40, "the remaining VM to serve the customer")
 
+    def test_burst_of_large_requests_is_lent_all_tokens_at_once(self):
+        """Requests that come together must not be refused one after the other.
+
+        The lender has a grant for them, of which little is spendable before a
+        renewal.
+        """
+        self.writes_per_s, self.peer_port = 1200, free_port()
+        self.start_with_engines(self.stream_two_events)
+        with self.second_vm("vm-b") as vms:
+            for vm in vms:
+                self.log_path = vm["log_path"]
+                fleet.wait_until(
+                    lambda: self.log_match("event=fleet_size vms=2"), 20,
+                    "both VMs to be counted")
+            for vm in vms:
+                fleet.wait_until(lambda: self.answers_whole_request(vm), 20,
+                                 "the VM to serve the customer")
+            borrower = vms[0] if self.metric(vms[0], "credit_asks_total") \
+                else vms[1]
+            with concurrent.futures.ThreadPoolExecutor(12) as pool:
+                statuses = list(pool.map(
+                    lambda _: Client(borrower["port"]).chat("20000,60").status,
+                    range(12)))
+        self.assertEqual(statuses, [200] * 12)
+
+    def test_vm_with_a_full_link_leaves_the_rotation(self):
+        """Clients that fill a VM's link must be led to other VMs.
+
+        The VM tells the load balancer and the other VMs, and closes the
+        connections that its clients would keep.
+        """
+        self.link_mbps = 0.4
+        for name in ("vm-b", "vm-c"):
+            self.store.put("rosemarydeck-vms", name,
+                           {"run": name, "beat": 1, "data_centre": "dc1"})
+        self.start_with_engines(lambda request: request.answer(),
+                                service="plain")
+        fleet.wait_until(lambda: self.log_match("event=fleet_size vms=3"), 20,
+                         "the other VMs to be counted")
+        client = Client(self.port)
+        reply = client.request("POST", "/look/1", "x" * 1000)
+        self.assertEqual((reply.status, reply.getheader("Connection")),
+                         (200, None))
+        reply.read()
+        client.request("POST", "/look/1", "x" * 60_000).read()
+        fleet.wait_until(lambda: not self.is_ready(), 5,
+                         "the VM to leave the rotation")
+        reply = Client(self.port).request("POST", "/look/1", "x")
+        self.assertEqual((reply.status, reply.getheader("Connection")),
+                         (200, "close"))
+        fleet.wait_until(
+            lambda: self.store.objects["rosemarydeck-vms", "vm-a"]["spec"]
+            ["out_of_rotation"], 5, "the other VMs to be told")
+        fleet.wait_until(
+            lambda: self.log_match(r"event=rotation_left link_percent=\d+"),
+            5, "the log line")
+
     def ledger_with_all_usage(self):
         """Returns the ledger with both answers of 106 tokens, or None."""
         for (kind, name), value in self.store.objects.items():
--- a/tests/daemons/gateway_harness.py
+++ b/tests/daemons/gateway_harness.py
@@ -75,6 +75,7 @@
         self.process = None
         self.start_count = 0
         self.writes_per_s = 400
+        self.link_mbps = 1000
         self.vm, self.peer_port = "vm-a", 0
 
     def tearDown(self):
@@ -100,6 +101,7 @@
 ready = "127.0.0.1:0"
 [limits]
 memory_mb = 100
+link_mbps = {self.link_mbps}
 [bounds]
 grace_s = 8
 retry_budget_ratio = 0.2
