Spare engines that leave or rest and bound what engines send

Cause: an engine that says in its answers that it leaves (Server-Leaving) was used until the store's list named it as draining, also as the last resort; one that asked for rest (503 with Retry-After) was asked again after 125 ms. A late second copy of an answer cost the next request on the connection its own (502). A body or an event without end was collected until the deadline: 264 MB for one stream, on VMs with 88 to 512 MB. Change: engine_selector records departures by incarnation and rests by time, and never falls back to such engines; if all rest, Retry-After names the earliest end. Answers to earlier requests on a reused connection are skipped. Answers are limited to 8 MiB, events and unparsed bytes to 256 KiB.

--- a/packages/gateway/engine_connection_pool_base.hpp
+++ b/packages/gateway/engine_connection_pool_base.hpp
@@ -18,6 +18,10 @@
 /** A connection to one engine. */
 struct engine_connection
 {
+    /** Bytes that are read and not yet parsed. Only bytes that are no answer,
+     *  such as an endless line, reach this. */
+    static constexpr std::size_t max_buffered_bytes = 262'144;
+
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     server_id engine;
@@ -28,7 +32,10 @@
     duration max_idle_time{}; ///< How long the engine keeps it open idle.
     time_point idle_since{};
 
-    explicit engine_connection(boost::asio::io_context& io) : socket(io) {}
+    explicit engine_connection(boost::asio::io_context& io)
+        : socket(io), buffer(max_buffered_bytes)
+    {
+    }
 
     /** Closes with a TCP reset, so that the engine notices at once. */
     void reset();
@@ -54,6 +61,8 @@
     engine_connection_ptr make();
     /** Adds a connection whose last answer was complete to the idle ones. */
     void keep(engine_connection_ptr connection, time_point now);
+    /** Closes the idle connections to one engine. */
+    void close_idle(const server_id& engine) { idle_.erase(engine); }
     /** Closes idle connections that have expired or whose engine is not in
      *  the view. */
     void close_stale(const fleet_view& view, time_point now);
--- a/packages/gateway/event_splitter_base.hpp
+++ b/packages/gateway/event_splitter_base.hpp
@@ -28,6 +28,8 @@
     std::vector<stream_event> feed(const std::string& bytes);
     /** @return True if the stream so far ends within an event. */
     [[nodiscard]] bool inside_event() const { return !pending_.empty(); }
+    /** @return Bytes of the incomplete event. */
+    [[nodiscard]] std::size_t pending_bytes() const { return pending_.size(); }
 
 private:
     std::string pending_; ///< Bytes of the incomplete event.
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -287,10 +287,23 @@
                timed_out_ ? "timed_out" : "engine_lost");
     else if (refused_by_engine_)
         refuse(503, counter::refused_engines_full, "engines_full",
-               retry_after_unavailable);
+               retry_after_no_engine());
     else
         refuse(503, counter::refused_no_engine, "no_engine",
-               retry_after_unavailable);
+               retry_after_no_engine());
+}
+
+milliseconds exchange::retry_after_no_engine() const
+{
+    const auto engines = view_->engines.find(service_);
+    if (engines == view_->engines.end())
+        return retry_after_unavailable;
+    const auto now = context_.clock.now();
+    const auto rest_end = context_.selector.rest_end(engines->second, now);
+    if (!rest_end)
+        return retry_after_unavailable;
+    return std::max(retry_after_unavailable,
+                    std::chrono::ceil<milliseconds>(*rest_end - now));
 }
 
 bool exchange::refuse(unsigned status, counter refusal_counter,
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -50,6 +50,8 @@
         /** Answer with a 5xx status as text, not yet relayed to the client. */
         std::optional<std::string> failure_answer;
         unsigned failure_status = 0; ///< HTTP status of failure_answer.
+        /** The answer was to an earlier request on the connection. */
+        bool outdated = false;
     };
 
     // Admission. admit(), authenticate() and reserve() send a refusal to the
@@ -91,7 +93,11 @@
     /** Sends the request on engine_connection_ and relays the answer. */
     send_result send_request(const placement& chosen);
     std::string encode_for_engine(const placement& chosen) const;
-    send_result read_answer(answer_parser& parser);
+    send_result read_answer(answer_parser& parser, const placement& chosen);
+    /** Reads the rest of an answer to an earlier request on the connection. */
+    send_result skip_outdated_answer(answer_parser& parser);
+    /** Records what an answer says of the engine's own state. */
+    void record_engine_state(const placement& chosen, const answer_head& head);
     /** Reads an answer that is no event stream; relays it unless its status is
      *  5xx. */
     send_result relay_whole_answer(answer_parser& parser,
@@ -110,6 +116,9 @@
 
     /** Logs the outcome and, if the client has no answer, sends one. */
     void finish();
+    /** @return Retry-After for a request that no engine took: when one of them
+     *  ends its rest, if all rest. */
+    [[nodiscard]] milliseconds retry_after_no_engine() const;
     /** Answers with an error made by this VM.
      *  @param reason Outcome in the log and error in the answer's body. */
     bool refuse(unsigned status, counter refusal_counter, const char* reason,
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -32,6 +32,12 @@
 /** Connect time-out of the probe that tells a crashed engine from a lost
  *  connection. Covers a few round trips. */
 constexpr auto crash_probe_timeout = milliseconds(100);
+/** Maximum size of an answer that is no stream, and of one event of a stream.
+ *  A faulty engine may send bytes without end. */
+constexpr std::uint64_t max_answer_bytes = 8'388'608;
+constexpr std::size_t max_event_bytes = 262'144;
+/** Number of answers to earlier requests that are skipped on a connection. */
+constexpr std::size_t max_outdated_answers = 2;
 /** A request ends once it has tried this many engines and the last one was
  *  unreachable. */
 constexpr std::size_t max_unreachable_engines = 4;
@@ -176,11 +182,15 @@
             traffic.sent += bytes;
             connection->sending = fault.failed();
         });
-    answer_parser parser;
-    parser.body_limit(boost::none);
-    if (request_.method() == http::verb::head)
-        parser.skip(true);
-    auto result = read_answer(parser);
+    send_result result;
+    std::size_t outdated = 0;
+    do {
+        answer_parser parser;
+        parser.body_limit(max_answer_bytes);
+        if (request_.method() == http::verb::head)
+            parser.skip(true);
+        result = read_answer(parser, chosen);
+    } while (result.outdated && ++outdated <= max_outdated_answers);
     if (result.outcome == send_outcome::refused ||
         result.outcome == send_outcome::instance_mismatch)
         may_have_run_ = may_have_run_before;
@@ -200,7 +210,39 @@
     return !read.fault;
 }
 
-exchange::send_result exchange::read_answer(answer_parser& parser)
+void exchange::record_engine_state(const placement& chosen,
+                                   const answer_head& head)
+{
+    const auto now = context_.clock.now();
+    if (head.leaving) {
+        context_.selector.record_leaving(chosen.engine, now);
+        context_.connection_pool.close_idle(chosen.engine.id);
+        context_.log.write("engine_leaving",
+                           {{"req", request_head_.id},
+                            {"engine", chosen.engine.id.value()},
+                            {"born", chosen.engine.started_at_ms}});
+    }
+    if (head.rest_time) {
+        context_.selector.record_rest(chosen.engine.id, now + *head.rest_time);
+        context_.log.write("engine_rests",
+                           {{"req", request_head_.id},
+                            {"engine", chosen.engine.id.value()},
+                            {"for_ms", duration(*head.rest_time)}});
+    }
+}
+
+exchange::send_result exchange::skip_outdated_answer(answer_parser& parser)
+{
+    while (!parser.is_done())
+        if (!read_some(parser))
+            return {send_outcome::broken};
+    send_result result{send_outcome::broken};
+    result.outdated = true;
+    return result;
+}
+
+exchange::send_result exchange::read_answer(answer_parser& parser,
+                                            const placement& chosen)
 {
     const auto read = await_io([&](auto handler) {
         http::async_read_header(engine_connection_->socket,
@@ -211,6 +253,12 @@
     if (read.fault)
         return {send_outcome::broken};
     const auto head = platform::decode_answer(parser.get(), request_head_.id);
+    // An answer to an earlier request may come late, and then the own one
+    // follows. On a new connection there is no earlier request.
+    if (!head.request_id_matches && !head.request_id.empty() &&
+        !engine_connection_->fresh)
+        return skip_outdated_answer(parser);
+    record_engine_state(chosen, head);
     if (head.not_executed)
         return {head.status == 421 ? send_outcome::instance_mismatch
                                    : send_outcome::refused};
@@ -219,8 +267,11 @@
     const bool success = head.status < 300;
     if (success && !head.sealed)
         return {send_outcome::broken};
-    if (success && route_->repeat == repeat_rule::stream)
+    if (success && route_->repeat == repeat_rule::stream) {
+        parser.body_limit(
+            boost::none); // The events are passed on as they come.
         return relay_stream(parser, head);
+    }
     return relay_whole_answer(parser, head);
 }
 
@@ -253,8 +304,8 @@
                               const answer_head& head)
 {
     auto& connection = *engine_connection_;
-    if (!parser.get().keep_alive() || connection.buffer.size() > 0 ||
-        connection.sending)
+    if (!parser.get().keep_alive() || head.leaving ||
+        connection.buffer.size() > 0 || connection.sending)
         return connection.reset();
     connection.max_idle_time = default_max_idle_time;
     if (head.idle_timeout)
@@ -278,6 +329,8 @@
             last_event_id_ += event.id ? 1 : 0;
             out += event.bytes;
         }
+        if (splitter.pending_bytes() > max_event_bytes)
+            return {send_outcome::broken};
         if (!out.empty() && !relay_events(out, parser))
             return {send_outcome::broken};
         if (parser.is_done())
--- a/packages/router/engine_selector_base.cpp
+++ b/packages/router/engine_selector_base.cpp
@@ -57,7 +57,7 @@
     std::vector<const engine_info*> available;
     std::vector<const engine_info*> untried;
     for (const auto& engine : engines) {
-        if (tried.count(engine.id))
+        if (tried.count(engine.id) || !takes_requests(engine, now))
             continue;
         const auto* known = find(engine.id);
         untried.push_back(&engine);
@@ -194,14 +194,61 @@
     }
 }
 
-void engine_selector::drop_unlisted(const fleet_view& view)
+bool engine_selector::is_leaving(const engine_info& engine) const
 {
+    const auto found = departures_.find(engine.id);
+    return found != departures_.end() &&
+           found->second.started_at_ms == engine.started_at_ms;
+}
+
+bool engine_selector::takes_requests(const engine_info& engine,
+                                     time_point now) const
+{
+    const auto* known = find(engine.id);
+    return !is_leaving(engine) &&
+           (known == nullptr || known->rest_until <= now);
+}
+
+void engine_selector::record_leaving(const engine_info& engine, time_point now)
+{
+    departures_[engine.id] = {engine.started_at_ms, now};
+}
+
+void engine_selector::record_rest(const server_id& engine, time_point until)
+{
+    auto& rest = records_[engine].rest_until;
+    rest = std::max(rest, until);
+}
+
+std::optional<time_point>
+engine_selector::rest_end(std::span<const engine_info> engines,
+                          time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const auto& engine : engines) {
+        if (is_leaving(engine))
+            continue;
+        const auto* known = find(engine.id);
+        if (known == nullptr || known->rest_until <= now)
+            return std::nullopt;
+        earliest =
+            std::min(earliest.value_or(known->rest_until), known->rest_until);
+    }
+    return earliest;
+}
+
+void engine_selector::drop_unlisted(const fleet_view& view, time_point now)
+{
+    std::erase_if(departures_, [&](const auto& one) {
+        return now - one.second.recorded > options_.departure_ttl;
+    });
     std::set<server_id> listed;
     for (const auto& [service, engines] : view.engines)
         for (const auto& engine : engines)
             listed.insert(engine.id);
     std::erase_if(records_, [&](const auto& one) {
-        return one.second.open == 0 && !listed.count(one.first);
+        return one.second.open == 0 && one.second.rest_until <= now &&
+               !listed.count(one.first);
     });
 }
 
--- a/packages/router/engine_selector_base.hpp
+++ b/packages/router/engine_selector_base.hpp
@@ -37,6 +37,9 @@
     /** Time for which an unreachable data centre is avoided after the latest
      *  failed connection. Then requests try it again. */
     duration data_centre_cooldown = milliseconds(1'000);
+    /** Time for which an engine's departure is remembered. Far longer than any
+     *  engine takes to leave. */
+    duration departure_ttl = milliseconds(600'000);
 };
 
 /** What the choice of an engine needs to know of a request. */
@@ -99,9 +102,19 @@
      *  clear the engine's back-off. */
     void release(const server_id& engine, const placement_request& request,
                  send_outcome outcome, time_point now);
+    /** Records that an engine said that it is about to stop. It gets no more
+     *  requests, whatever the list of engines says of this incarnation. */
+    void record_leaving(const engine_info& engine, time_point now);
+    /** Records that an engine wants no requests before @p until. */
+    void record_rest(const server_id& engine, time_point until);
     /** Drops the records of engines that the view doesn't list and that have
-     *  no open requests. */
-    void drop_unlisted(const fleet_view& view);
+     *  no open requests, and old records of leaving engines. */
+    void drop_unlisted(const fleet_view& view, time_point now);
+
+    /** @return When the first of the engines ends its rest; none if one of them
+     *  takes requests now or if all are leaving. */
+    [[nodiscard]] std::optional<time_point>
+    rest_end(std::span<const engine_info> engines, time_point now) const;
 
     /** @return Number of requests that this VM has open at an engine. */
     [[nodiscard]] std::uint32_t open_at(const server_id& engine) const;
@@ -113,9 +126,17 @@
         token_count open_work = 0;  ///< Weighted tokens of the open requests.
         std::uint32_t failures = 0; ///< Consecutive failures.
         time_point retry_at{};      ///< End of the back-off.
+        time_point rest_until{};    ///< End of the rest that it asked for.
         dc_id data_centre;
     };
 
+    /** An engine that said that it is about to stop. */
+    struct departure
+    {
+        std::int64_t started_at_ms = 0; ///< Start of the incarnation.
+        time_point recorded{};
+    };
+
     /** Failed connections to the engines of one data centre. */
     struct connectivity
     {
@@ -133,8 +154,12 @@
     /** @return Prompt tokens plus output tokens times their weight. */
     [[nodiscard]] token_count
     weighted_tokens(const placement_request& request) const;
+    [[nodiscard]] bool is_leaving(const engine_info& engine) const;
+    /** @return True if the engine neither leaves nor rests. */
+    [[nodiscard]] bool takes_requests(const engine_info& engine,
+                                      time_point now) const;
     /** @return Untried engines without a back-off in a reachable data centre,
-     *  or all untried ones if there is none. */
+     *  or all untried ones if there is none; never one that leaves or rests. */
     [[nodiscard]] std::vector<const engine_info*>
     candidates(std::span<const engine_info> engines,
                const std::set<server_id>& tried, time_point now) const;
@@ -147,6 +172,7 @@
 
     placement_options options_;
     std::map<server_id, record> records_;
+    std::map<server_id, departure> departures_;
     std::map<dc_id, connectivity> connectivity_;
     std::uint64_t placement_count_ = 0; ///< Salt for engines of equal load.
 };
--- a/packages/router/request_type.hpp
+++ b/packages/router/request_type.hpp
@@ -79,6 +79,11 @@
     bool encoded = false;      ///< The body has a content encoding.
     /** The request id in the header is that of the request that was sent. */
     bool request_id_matches = false;
+    /** Id in the header, which is empty if there is none. */
+    std::string request_id;
+    bool leaving = false; ///< The engine is about to stop.
+    /** Time for which an overloaded engine wants no further requests. */
+    std::optional<milliseconds> rest_time;
     /** How long the engine keeps the connection open while it is idle. */
     std::optional<std::chrono::seconds> idle_timeout;
 };
--- a/packages/router/test/router_test.cpp
+++ b/packages/router/test/router_test.cpp
@@ -245,6 +245,54 @@
     CHECK_FALSE(selector.place(request, all, {all[0].id}, at(1ms)));
 }
 
+TEST_CASE("A leaving engine gets no requests, also if it is the only one",
+          "[placement]")
+{
+    engine_selector chooser;
+    const auto all = engines(2);
+    chooser.record_leaving(all[0], at(0s));
+    for (int number = 0; number < 20; ++number)
+        CHECK(chooser.place(prompt(std::to_string(number)), all, {}, at(1s))
+                  ->engine.id == all[1].id);
+    CHECK_FALSE(chooser.place(prompt("a"), all, {all[1].id}, at(1s)));
+    CHECK_FALSE(chooser.place(prompt("a"), engines(1), {}, at(500s)));
+    // The list of engines may drop it for a while and name it again.
+    chooser.drop_unlisted({}, at(2s));
+    CHECK_FALSE(chooser.place(prompt("a"), engines(1), {}, at(3s)));
+}
+
+TEST_CASE("An engine that left and started again gets requests", "[placement]")
+{
+    engine_selector chooser;
+    auto all = engines(1);
+    chooser.record_leaving(all[0], at(0s));
+    all[0].started_at_ms = 7;
+    CHECK(chooser.place(prompt("a"), all, {}, at(1s)));
+}
+
+TEST_CASE("An engine that asked for rest gets no requests until its end",
+          "[placement]")
+{
+    engine_selector chooser;
+    const auto all = engines(2);
+    CHECK_FALSE(chooser.rest_end(all, at(0s)));
+    chooser.record_rest(all[0].id, at(4s));
+    for (int number = 0; number < 20; ++number)
+        CHECK(chooser.place(prompt(std::to_string(number)), all, {}, at(1s))
+                  ->engine.id == all[1].id);
+    CHECK_FALSE(chooser.rest_end(all, at(1s)));
+    chooser.record_rest(all[1].id, at(3s));
+    // A shorter rest asked for later doesn't end the first.
+    chooser.record_rest(all[0].id, at(2s));
+    CHECK_FALSE(chooser.place(prompt("a"), all, {}, at(1s)));
+    CHECK(chooser.rest_end(all, at(1s)) == at(3s));
+    CHECK(chooser.place(prompt("a"), all, {}, at(3s))->engine.id == all[1].id);
+    CHECK(chooser.place(prompt("a"), all, {all[1].id}, at(4s)));
+    chooser.record_leaving(all[1], at(4s));
+    chooser.record_rest(all[0].id, at(9s));
+    CHECK(chooser.rest_end(all, at(5s)) == at(9s));
+}
+
 TEST_CASE("The retries of all VMs stay within the fleet's budget", "[retry]")
 {
     CHECK(rc::check("retry budget", [] {
