Keep VMs with a full link out for a minute and count arrival time

Change: 60 s out of rotation, up to two fifths of a data centre's VMs. The time of a request counts from its first byte, and the socket is checked for a close that was not read yet before a request is passed on.

--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -45,7 +45,7 @@
             break;
         serving_request_ = true;
         const auto request = parser.release();
-        exchange active_exchange(context_, *stream_, request);
+        exchange active_exchange(context_, *stream_, request, received_at_);
         const auto action = active_exchange.run();
         serving_request_ = false;
         if (action == connection_action::close)
@@ -76,7 +76,8 @@
     if (stream_->buffer().size() == 0 &&
         !stream_->read_more(limits.idle_timeout))
         return false;
-    const auto header_deadline = context_.clock.now() + limits.header_timeout;
+    received_at_ = context_.clock.now();
+    const auto header_deadline = received_at_ + limits.header_timeout;
     while (true) {
         if (parse_buffered(parser))
             return true;
--- a/packages/gateway/client_connection_base.hpp
+++ b/packages/gateway/client_connection_base.hpp
@@ -36,6 +36,7 @@
     traffic_context& context_;
     std::shared_ptr<client_stream> stream_;
     bool serving_request_ = false;
+    time_point received_at_{}; ///< First byte of the last request.
     boost::system::error_code parse_error_;
 };
 
--- a/packages/gateway/client_stream_base.cpp
+++ b/packages/gateway/client_stream_base.cpp
@@ -54,6 +54,19 @@
     wake();
 }
 
+bool client_stream::detect_close()
+{
+    if (closed_)
+        return true;
+    boost::system::error_code fault;
+    socket_.non_blocking(true, fault);
+    char byte = 0;
+    socket_.receive(boost::asio::buffer(&byte, 1),
+                    boost::asio::socket_base::message_peek, fault);
+    closed_ = fault && fault != boost::asio::error::would_block;
+    return closed_;
+}
+
 void client_stream::wake()
 {
     if (waiting_fiber_ == nullptr)
--- a/packages/gateway/client_stream_base.hpp
+++ b/packages/gateway/client_stream_base.hpp
@@ -36,6 +36,9 @@
     /** Writes all bytes; aborts the connection at the time-out.
      *  @return False if not all bytes could be written. */
     bool write(const std::string& bytes, duration timeout);
+    /** Looks for a disconnect that has arrived and was not read yet.
+     *  @return True if the connection has ended. */
+    bool detect_close();
     /** Sets the handler that is called when a background read finds the
      *  connection ended; replaces the previous one. */
     void set_close_handler(std::function<void()> handler);
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -43,14 +43,14 @@
 } // namespace
 
 exchange::exchange(traffic_context& context, client_stream& client,
-                   const client_request& request)
-    : context_(context), client_(client), request_(request), timer_(context.io)
+                   const client_request& request, time_point received_at)
+    : context_(context), client_(client), request_(request),
+      started_(received_at), timer_(context.io)
 {
 }
 
 connection_action exchange::run()
 {
-    started_ = context_.clock.now();
     context_.metrics.add(counter::requests);
     ++context_.open_requests;
     request_head_ = platform::decode_request(request_);
@@ -115,7 +115,7 @@
         placement_request_.shared_prefix_id = request_head_.shared_prefix();
         placement_request_.shared = request_head_.shared_tokens();
     }
-    context_.retries.record_request(service_, started_);
+    context_.retries.record_request(service_, context_.clock.now());
     return reserve();
 }
 
@@ -162,7 +162,7 @@
     if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt)
         return true;
     const auto charge = request_head_.max_charge();
-    context_.credit.record_demand(customer_->id, charge, started_);
+    context_.credit.record_demand(customer_->id, charge, context_.clock.now());
     if (try_reserve(charge) || wait_for_headroom())
         return true;
     if (remaining_budget() < charge)
@@ -193,11 +193,12 @@
 
 bool exchange::wait_for_headroom()
 {
-    const auto wait_deadline =
-        std::min(started_ + duration(headroom_wait_timeout), deadline_);
+    const auto wait_deadline = std::min(
+        context_.clock.now() + duration(headroom_wait_timeout), deadline_);
     const auto charge = request_head_.max_charge();
     if (remaining_budget() < charge ||
-        !context_.local_wallet.may_obtain(customer_->id, charge, started_))
+        !context_.local_wallet.may_obtain(customer_->id, charge,
+                                          context_.clock.now()))
         return false;
     context_.local_wallet.begin_wait(customer_->id, charge);
     context_.control.request_budget(customer_->id, charge);
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -31,8 +31,10 @@
 class exchange
 {
 public:
+    /** @param received_at Time of the request's first byte. The client's time
+     *  limit counts from there, since a request may take long to arrive. */
     exchange(traffic_context& context, client_stream& client,
-             const client_request& request);
+             const client_request& request, time_point received_at);
 
     /** Suspends the calling fiber until the exchange has ended.
      *  @return What to do with the client's connection. */
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -136,7 +136,8 @@
         if (!opened)
             return {send_outcome::unreachable};
     }
-    if (client_.closed() || timed_out_)
+    // On a busy VM the client may have left before its request was read.
+    if (client_.detect_close() || timed_out_)
         return {send_outcome::unreachable};
     return send_request(chosen);
 }
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -32,8 +32,7 @@
                .credit = credit,
                .log = log,
                .metrics = metrics,
-               .control = std::move(callbacks)},
-      link_({.bytes_per_s = settings.link_bits_per_s / 8})
+               .control = std::move(callbacks)}
 {
 }
 
@@ -122,9 +121,10 @@
 
 void traffic_service::watch_link()
 {
-    link_.record(context_.link_bytes, context_.clock.now());
-    link_overloaded_ = link_.overloaded();
-    link_utilization_ = link_.utilization();
+    auto& link = context_.link;
+    link.record(context_.link_bytes, context_.clock.now());
+    link_overloaded_ = link.overloaded();
+    link_utilization_ = link.utilization();
     link_timer_.expires_after(link_sample_interval);
     link_timer_.async_wait([this](const boost::system::error_code& stopped) {
         if (!stopped)
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -67,7 +67,6 @@
     traffic_context context_;
     std::set<client_connection*> connections_;
     std::atomic<std::size_t> open_requests_{0};
-    link_load link_;
     std::atomic<bool> link_overloaded_{false};
     std::atomic<double> link_utilization_{0};
     std::thread thread_;
--- a/packages/router/fleet_presence_base.cpp
+++ b/packages/router/fleet_presence_base.cpp
@@ -58,7 +58,7 @@
         ++vms;
         outside += entry.out_of_rotation ? 1 : 0;
     }
-    return outside * 3 <= vms;
+    return outside * 5 <= vms * 2;
 }
 
 std::vector<vm_id> fleet_presence::removable(time_point now) const
--- a/packages/router/fleet_presence_base.hpp
+++ b/packages/router/fleet_presence_base.hpp
@@ -59,9 +59,9 @@
      *  as soon as it has been read. */
     [[nodiscard]] std::map<vm_id, vm_presence> live(time_point now) const;
     /**
-     * Tells whether this VM may leave the load balancer's rotation: at most a
-     * third of a data centre's VMs may be out of it. The load balancer uses
-     * all VMs, overloaded ones included, once fewer than half are left.
+     * Tells whether this VM may leave the load balancer's rotation: at most
+     * two fifths of a data centre's VMs may be out of it. The load balancer
+     * uses all VMs, overloaded ones included, once fewer than half are left.
      * @param own Data centre of this VM.
      */
     [[nodiscard]] bool may_leave_rotation(const dc_id& own,
--- a/packages/router/link_load_base.hpp
+++ b/packages/router/link_load_base.hpp
@@ -25,9 +25,9 @@
     /** Minimum duration of an overload. It doubles each time the link is
      *  overloaded again within the relapse time: the clients that caused the
      *  overload come back with the VM. */
-    duration min_overload_time = std::chrono::milliseconds(20'000);
-    duration max_overload_time = std::chrono::milliseconds(80'000);
-    duration relapse_time = std::chrono::milliseconds(20'000);
+    duration min_overload_time = std::chrono::milliseconds(60'000);
+    duration max_overload_time = std::chrono::milliseconds(240'000);
+    duration relapse_time = std::chrono::milliseconds(60'000);
 };
 
 /** Bytes that passed the link since the process started. */
--- a/tests/daemons/gateway_harness.py
+++ b/tests/daemons/gateway_harness.py
@@ -149,6 +149,11 @@
         text = pathlib.Path(self.log_path).read_text(errors="replace")
         return re.search(pattern, text)
 
+    def log_matches(self, pattern):
+        """Returns all matches in the log of the last start."""
+        text = pathlib.Path(self.log_path).read_text(errors="replace")
+        return re.findall(pattern, text)
+
     def ledger_account(self):
         """Returns the account of acme in the stored ledger, or None."""
         ledger = self.store.objects.get(("rosemarydeck-ledgers", "part-0"))
--- a/tests/daemons/gateway_test.py
+++ b/tests/daemons/gateway_test.py
@@ -126,6 +126,43 @@
         self.assertIsNotNone(reply.getheader("Retry-After"))
         self.assertIsNone(reply.getheader("Response-Seal"))
 
+    def test_time_that_a_request_takes_to_arrive_is_part_of_its_deadline(self):
+        """An engine must not work on a request whose client has left."""
+        engine, = self.start_with_engines(lambda request: request.answer(),
+                                          service="plain")
+        with socket.create_connection(("127.0.0.1", self.port), 10) as client:
+            client.sendall(
+                b"POST /look/1 HTTP/1.1\r\nHost: site.example\r\n"
+                b"Request-Id: r1\r\nDeadline-Ms: 3000\r\n"
+                b"Authorization: Token " + API_KEY.encode() +
+                b"\r\nContent-Length: 4\r\n\r\n")
+            for _ in range(4):
+                time.sleep(0.25)
+                client.sendall(b"x")
+            self.assertIn(b" 200 ", client.recv(100))
+        self.assertLessEqual(int(engine.requests[0].headers["Deadline-Ms"]),
+                             2100)
+
+    def test_request_whose_client_left_before_it_was_read_is_not_passed_on(
+            self):
+        engine, = self.start_with_engines(lambda request: request.answer(),
+                                          service="plain")
+        # The connection to the engine stays open for the next request.
+        warm_up = Client(self.port)
+        self.assertEqual(warm_up.request("GET", "/look/8").read(), b"done")
+        self.process.send_signal(signal.SIGSTOP)
+        for number in range(5):
+            with socket.create_connection(("127.0.0.1", self.port)) as client:
+                client.sendall(
+                    f"GET /look/{number} HTTP/1.1\r\nHost: site.example\r\n"
+                    f"Request-Id: left{number}\r\nDeadline-Ms: 3000\r\n"
+                    f"Authorization: Token {API_KEY}\r\n\r\n".encode())
+        self.process.send_signal(signal.SIGCONT)
+        fleet.wait_until(
+            lambda: len(self.log_matches("outcome=client_gone")) == 5, 5,
+            "the requests of the clients that left to end")
+        self.assertEqual([request.id for request in engine.requests], ["r1"])
+
     # --- engines that leave, rest or are out of order --------------------
 
     def test_engine_that_says_it_leaves_gets_no_more_requests(self):
