Let engines' changes gather for longer before they are read

Change: the pause after such an answer is half of the time for which a draining engine serves requests, if a repeated call still fits, else a quarter as before; crash records are read each 0.45 of the time for contact.

--- a/packages/router/sync_interval_func.cpp
+++ b/packages/router/sync_interval_func.cpp
@@ -1,17 +1,25 @@
 /** @file sync_interval_func.cpp How often a VM asks the platform's store. */
 #include "router/sync_interval_func.hpp"
 
+#include <algorithm>
+
 namespace rosemarydeck
 {
 
 sync_intervals sync_intervals_for(const sync_bounds& bounds)
 {
+    // Time for a call that gets no answer, and for its repetition.
+    constexpr duration repeated_call = std::chrono::milliseconds(1'200);
     sync_intervals result;
     result.after_config = bounds.config_apply_time / 4;
-    result.after_engines = bounds.engine_drain_time / 4;
+    // Engines change most often, and a draining one still serves requests.
+    result.after_engines =
+        std::max(bounds.engine_drain_time / 4,
+                 std::min(bounds.engine_drain_time / 2,
+                          bounds.engine_drain_time - repeated_call));
     // A crash is written after one pause and read after another, both within
     // the time for contact.
-    result.after_crashes = bounds.contact_time / 3;
+    result.after_crashes = bounds.contact_time * 9 / 20;
     result.between_crash_writes = bounds.contact_time / 6;
     // A probe that is lost takes a time-out as well.
     result.max_probe_pause = bounds.contact_time / 2;
