Repeat watches that began in an outage of the store

The VM's watch on the configuration began at 31.1 s, after the pause that now follows a change, and was never received; it waited out its 20 s while other calls had found the store up again, so a version acknowledged at 39.1 s was not in force at 41.3 s. Besides, a fiber that paused before its probe held back all others for up to 1.5 s after another call had found the store up. Change: when an outage ends, the watches under way are ended and sent again (http_call_handle); a pause before a probe ends with the outage.

--- a/packages/gateway/store_client_base.cpp
+++ b/packages/gateway/store_client_base.cpp
@@ -15,6 +15,9 @@
 constexpr auto answer_timeout = std::chrono::milliseconds(1'000);
 /** Pause before a probe of the store; doubled for each failure in a row. */
 constexpr auto base_probe_pause = std::chrono::milliseconds(150);
+/** Interval at which a fiber that pauses before a probe looks whether the store
+ *  is up. */
+constexpr auto recovery_poll_interval = std::chrono::milliseconds(100);
 /** Part of the pause that is random. */
 constexpr double jitter_part = 0.25;
 
@@ -65,7 +68,14 @@
     std::unique_lock<boost::fibers::mutex> permit(probe_mutex_);
     if (!down_)
         return {};
-    fiber_sleep(io_, probe_pause());
+    const auto probe_time = clock_.now() + probe_pause();
+    while (clock_.now() < probe_time) {
+        fiber_sleep(io_, std::min<duration>(recovery_poll_interval,
+                                            probe_time - clock_.now()));
+        // A call that was under way may have found the store up again.
+        if (!down_)
+            return {};
+    }
     return permit;
 }
 
@@ -82,10 +92,16 @@
     metrics_.add(counter::store_calls);
     metrics_.add(counter_of(call.kind));
     const auto start_time = clock_.now();
+    http_call_handle handle;
+    if (hold_time.count() > 0)
+        watches_.insert(&handle);
     auto reply = client_.call({store_.address, store_.port}, std::move(request),
-                              answer_timeout + hold_time);
+                              answer_timeout + hold_time, &handle);
+    watches_.erase(&handle);
     if (hold_time.count() == 0)
         metrics_.observe(histogram::store_call, clock_.now() - start_time);
+    if (!reply && handle.cancelled())
+        return tl::unexpected(reply.error());
     if (!reply) {
         record_result(false, describe(reply.error().cause));
         return tl::unexpected(reply.error());
@@ -96,6 +112,12 @@
     return store_reply{status, std::move(reply->body())};
 }
 
+void store_client::restart_watches()
+{
+    for (auto* watch : watches_)
+        watch->cancel();
+}
+
 void store_client::record_result(bool usable, const std::string& reason)
 {
     if (usable) {
@@ -106,6 +128,7 @@
         last_recovery_ = clock_.now();
         log_.write("store_regained",
                    {{"away_ms", clock_.now() - outage_start_}});
+        restart_watches();
         return;
     }
     ++consecutive_failures_;
--- a/packages/gateway/store_client_base.hpp
+++ b/packages/gateway/store_client_base.hpp
@@ -10,6 +10,7 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <random>
+#include <set>
 
 namespace rosemarydeck
 {
@@ -63,6 +64,9 @@
     /** @return Pause before the next probe, with jitter, so that the VMs don't
      *  probe together. */
     [[nodiscard]] duration probe_pause();
+    /** Ends the watches that began before the outage ended. The store may not
+     *  have received them, and would then never answer. */
+    void restart_watches();
     void record_result(bool usable, const std::string& reason);
 
     boost::asio::io_context& io_;
@@ -75,6 +79,7 @@
     boost::fibers::mutex probe_mutex_;
     bool down_ = false;
     std::uint32_t consecutive_failures_ = 0;
+    std::set<http_call_handle*> watches_; ///< Calls that the store holds.
     std::minstd_rand jitter_{std::random_device{}()};
     std::optional<time_point> last_recovery_;
     time_point outage_start_{};
--- a/packages/web/http_client_base.cpp
+++ b/packages/web/http_client_base.cpp
@@ -40,6 +40,13 @@
     return std::min(call_timeout, max_connect_timeout);
 }
 
+void http_call_handle::cancel()
+{
+    cancelled_ = true;
+    if (connection_ != nullptr)
+        connection_->stream.close();
+}
+
 http_client::http_client(boost::asio::io_context& context) : context_(context)
 {
 }
@@ -94,7 +101,7 @@
 
 tl::expected<http_response, http_failure>
 http_client::call(const http_peer& peer, http_request request,
-                  std::chrono::milliseconds timeout)
+                  std::chrono::milliseconds timeout, http_call_handle* handle)
 {
     auto connection = take_idle(peer);
     if (!connection) {
@@ -115,10 +122,14 @@
             unavailable("send request", peer, written.fault.message()), true});
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_call_answer_bytes);
+    if (handle != nullptr)
+        handle->connection_ = connection.get();
     const auto read = await_io([&](auto handler) {
         http::async_read(stream, connection->buffer, parser,
                          std::move(handler));
     });
+    if (handle != nullptr)
+        handle->connection_ = nullptr;
     if (read.fault)
         return tl::unexpected(http_failure{
             unavailable("read answer", peer, read.fault.message()), true});
--- a/packages/web/http_client_base.hpp
+++ b/packages/web/http_client_base.hpp
@@ -41,6 +41,21 @@
     }
 };
 
+/** Lets another fiber of the thread end a call that waits for its answer. */
+class http_call_handle
+{
+public:
+    /** Closes the connection of the call, which then fails. */
+    void cancel();
+    [[nodiscard]] bool cancelled() const { return cancelled_; }
+
+private:
+    friend class http_client;
+
+    http_connection* connection_ = nullptr; ///< Set while the call waits.
+    bool cancelled_ = false;
+};
+
 /** A failed call: its cause and whether the request may have arrived. */
 struct http_failure
 {
@@ -74,11 +89,12 @@
      * Sends a request and reads the whole answer.
      * @param timeout Limit for connecting, and again for sending the request
      *                and reading the answer together.
+     * @param handle Ends the call; must not be in use by another one.
      * @return The answer, or a failure with error_code::unavailable.
      */
     tl::expected<http_response, http_failure>
     call(const http_peer& peer, http_request request,
-         std::chrono::milliseconds timeout);
+         std::chrono::milliseconds timeout, http_call_handle* handle = nullptr);
 
 private:
     std::unique_ptr<http_connection> take_idle(const http_peer& peer);
--- a/tests/daemons/gateway_budget_test.py
+++ b/tests/daemons/gateway_budget_test.py
@@ -90,6 +90,40 @@
         self.assertEqual(len(first.requests), requests_before)
         self.assertGreaterEqual(len(second.requests), 12)
 
+    def test_all_calls_go_on_at_once_when_one_finds_the_store_up(self):
+        """A configuration must not wait for the pause before a probe."""
+        self.contact_ms = 60_000  # Pauses grow to half of it.
+        self.store.cut_kinds = {"config"}
+        engine, = self.start_with_engines(lambda request: request.answer(),
+                                          service="plain")
+        time.sleep(1.5)  # The watch on engines is under way and stays so.
+        self.store.set_available(False)
+        fleet.wait_until(lambda: self.log_match("event=store_lost"), 20,
+                         "the outage to be noticed")
+        time.sleep(6)  # The next pause is 3.6 to 4.8 s.
+        self.store.put("config", "main", config(9))
+        self.store.set_available(True)
+        self.register_engine("i-9", engine, "plain")
+        fleet.wait_until(lambda: self.log_match("event=store_regained"), 2,
+                         "the end of the outage")
+        fleet.wait_until(lambda: self.log_match("version=9 "), 1,
+                         "the configuration in force")
+
+    def test_watch_that_the_store_lost_is_repeated_after_the_outage(self):
+        """The store may not receive a watch, which then never ends."""
+        self.store.lost_kinds = {"config"}
+        self.start_with_engines(lambda request: request.answer(),
+                                service="plain")
+        time.sleep(1)  # The watch on the configuration is under way.
+        self.store.set_available(False)
+        fleet.wait_until(lambda: self.log_match("event=store_lost"), 20,
+                         "the outage to be noticed")
+        self.store.lost_kinds = set()
+        self.store.put("config", "main", config(9))
+        self.store.set_available(True)
+        fleet.wait_until(lambda: self.log_match("version=9 "), 4,
+                         "the configuration in force")
+
     def test_request_that_crashes_engines_is_blocked(self):
         """Retries of such a request would take down engine after engine."""
         engines = []
--- a/tests/daemons/gateway_harness.py
+++ b/tests/daemons/gateway_harness.py
@@ -75,7 +75,7 @@
         self.process = None
         self.start_count = 0
         self.writes_per_s = 400
-        self.link_mbps = 1000
+        self.link_mbps, self.contact_ms = 1000, 3000
         self.vm, self.peer_port = "vm-a", 0
 
     def tearDown(self):
@@ -104,6 +104,7 @@
 link_mbps = {self.link_mbps}
 [bounds]
 grace_s = 8
+contact_ms = {self.contact_ms}
 retry_budget_ratio = 0.2
 budget_extra_retries = 56
 budget_window_s = 10
--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -17,6 +17,8 @@
         self.revision = 1
         self.changed = threading.Condition()
         self.available = True  # False: answers every call with 503.
+        self.cut_kinds = set()  # Watches of these kinds end in an outage.
+        self.lost_kinds = set()  # Watches of these kinds get no answer.
         self.calls = 0
         store = self
 
@@ -59,8 +61,9 @@
             if not self.available:
                 return 503, {"error": "unavailable"}
             if method == "GET" and "watch" in query:
-                return 200, self.watch(path_parts[0], int(query["watch"]),
-                                       int(query["wait_ms"]) / 1000)
+                events = self.watch(path_parts[0], int(query["watch"]),
+                                    int(query["wait_ms"]) / 1000)
+                return (200, events) if events else (503, {})
             if method == "GET" and len(path_parts) == 1:
                 items = [value for (kind, _), value
                          in sorted(self.objects.items())
@@ -85,8 +88,14 @@
         return 200, self.put(path_parts[0], name, body["spec"])
 
     def watch(self, kind, since, wait_s):
-        """Waits for changes after a revision; returns none after wait_s."""
+        """Waits for changes after a revision; returns none after wait_s.
+
+        Returns None if the watch is cut off.
+        """
         deadline = time.monotonic() + wait_s
+        lost = kind in self.lost_kinds
+        while lost:
+            self.changed.wait()
         while True:
             events = [{"tombstone": False, "object": value}
                       for (object_kind, _), value in self.objects.items()
@@ -97,10 +106,17 @@
                        if object_kind == kind
                        and value["metadata"]["revision"] > since]
             remaining_s = deadline - time.monotonic()
+            if not self.available and kind in self.cut_kinds:
+                return None
             if events or remaining_s <= 0:
                 return {"events": events, "current_rev": self.revision}
             self.changed.wait(remaining_s)
 
+    def set_available(self, available):
+        with self.changed:
+            self.available = available
+            self.changed.notify_all()
+
     def put(self, kind, name, spec):
         with self.changed:
             self.revision += 1
