--- a/packages/ledger/test/ledger_test.cpp
+++ b/packages/ledger/test/ledger_test.cpp
@@ -2,6 +2,7 @@
 #include "ledger/ledger_layout_func.hpp"
 #include "ledger/ledger_writer_base.hpp"
 #include "ledger/share_limit_func.hpp"
+#include "lone_vm.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -9,52 +10,6 @@
 using namespace rosemarydeck;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-const customer_id acme("acme");
-
-ledger_writer_options options_of(const std::string& vm, int run = 1)
-{
-    ledger_writer_options options;
-    options.self = instance_id(vm + "." + std::to_string(run));
-    options.member.vm = vm_id(vm);
-    options.member.boot = "boot-of-" + vm;
-    return options;
-}
-
-clock_reading at(std::chrono::milliseconds time)
-{
-    return {time_point(time), 1'000'000 + time.count(), time.count()};
-}
-
-ledger_share share_of(const ledger& value, const std::string& run)
-{
-    return value.accounts.at(acme).shares.at(instance_id(run));
-}
-
-/** A single VM whose ledger accepts every write at once. */
-struct lone_vm
-{
-    wallet local_wallet;
-    ledger_writer writer;
-    std::uint64_t revision = 1;
-
-    explicit lone_vm(ledger_writer_options options)
-        : writer(std::move(options), local_wallet)
-    {
-        writer.refreshed(std::nullopt, 0, at(0ms).now);
-    }
-
-    void renew(token_count prepaid, std::chrono::milliseconds time)
-    {
-        writer.prepare({{acme, prepaid}}, at(time));
-        writer.written(++revision, at(time).now);
-    }
-};
-
-} // namespace
-
 TEST_CASE("A share's limit grows by its slope and then to its whole grant",
           "[limit]")
 {
@@ -318,66 +273,6 @@
         CHECK_FALSE(parse_shard_name(layout, name));
 }
 
-TEST_CASE("A renewal of one shard keeps the unmet demand of other shards",
-          "[writer]")
-{
-    const customer_id other("other");
-    wallet local_wallet;
-    ledger_writer first(options_of("a"), local_wallet);
-    ledger_writer second(options_of("a"), local_wallet);
-    first.refreshed(std::nullopt, 0, at(0ms).now);
-    second.refreshed(std::nullopt, 0, at(0ms).now);
-    REQUIRE_FALSE(local_wallet.reserve(other, 30'000, at(0ms).now));
-    const auto written = first.prepare({{acme, 100'000}}, at(1ms)).next;
-    CHECK(written.accounts.count(other) == 0);
-    first.written(2, at(1ms).now);
-    second.prepare({{other, 100'000}}, at(2ms));
-    second.written(3, at(2ms).now);
-    CHECK(local_wallet.reserve(other, 30'000, at(3ms).now));
-    CHECK_FALSE(local_wallet.reserve(other, 100'000, at(3ms).now));
-}
-
-TEST_CASE("One renewal covers a whole burst of waiting requests", "[writer]")
-{
-    lone_vm vm(options_of("a"));
-    vm.renew(1'000'000, 0ms);
-    while (vm.local_wallet.reserve(acme, 12'000, at(1ms).now)) {
-    }
-    for (int number = 0; number < 20; ++number)
-        vm.local_wallet.begin_wait(acme, 12'000);
-    CHECK(vm.local_wallet.waiting(acme) == 240'000);
-    vm.renew(1'000'000, 2ms);
-    for (int number = 0; number < 20; ++number) {
-        CHECK(vm.local_wallet.reserve(acme, 12'000, at(3ms).now));
-        vm.local_wallet.end_wait(acme, 12'000);
-    }
-    CHECK(vm.local_wallet.waiting(acme) == 0);
-}
-
-TEST_CASE("A renewal covers what another VM's waiting requests lack",
-          "[writer]")
-{
-    lone_vm vm(options_of("a"));
-    vm.renew(1'000'000, 0ms);
-    const auto first = vm.local_wallet.lend(acme, 1'000, 200'000, at(1ms).now);
-    CHECK(first < 100'000);
-    vm.local_wallet.record_unmet(acme, 200'000 - first);
-    vm.renew(1'000'000, 2ms);
-    CHECK(vm.local_wallet.lend(acme, 200'000 - first, 0, at(3ms).now) ==
-          200'000 - first);
-}
-
-TEST_CASE("The first VM leaves part of a budget for later ones", "[writer]")
-{
-    auto options = options_of("a");
-    options.policy.min_vms = 8;
-    lone_vm vm(options);
-    vm.renew(1'000'000, 0ms);
-    CHECK(vm.local_wallet.reserve(acme, 9'000, at(2ms).now));
-    vm.renew(1'000'000, 3ms);
-    CHECK(share_of(vm.writer.current(), "a.1").granted <= 1'000'000 / 8);
-}
-
 TEST_CASE("Tokens lent to another VM count as spent at once", "[wallet]")
 {
     lone_vm vm(options_of("a"));
