--- a/tests/daemons/gateway_budget_test.py
+++ b/tests/daemons/gateway_budget_test.py
@@ -254,12 +254,9 @@
         reply.read()
         return True
 
-    def test_vms_lend_each_other_budget_and_report_its_use(self):
-        """A customer must be served by both VMs although one holds the budget.
-
-        The VM without the ledger asks for credit. When the other drains, it
-        must take over the ledger.
-        """
+    @contextlib.contextmanager
+    def two_serving_vms(self):
+        """Runs two VMs that lend each other budget; both serve acme."""
         self.writes_per_s, self.peer_port = 1200, free_port()
         self.start_with_engines(self.stream_two_events)
         with self.second_vm("vm-b") as vms:
@@ -272,6 +269,15 @@
                 # The peer connection may still be opening.
                 fleet.wait_until(lambda: self.answers_whole_request(vm), 20,
                                  "the VM to serve the customer")
+            yield vms
+
+    def test_vms_lend_each_other_budget_and_report_its_use(self):
+        """A customer must be served by both VMs although one holds the budget.
+
+        The VM without the ledger asks for credit. When the other drains, it
+        must take over the ledger.
+        """
+        with self.two_serving_vms() as vms:
             credit_requests = [self.metric(vm, "credit_asks_total")
                                for vm in vms]
             credit_given = [self.metric(vm, "credit_given_tokens_total")
@@ -298,17 +304,7 @@
         The lender has a grant for them, of which little is spendable before a
         renewal.
         """
-        self.writes_per_s, self.peer_port = 1200, free_port()
-        self.start_with_engines(self.stream_two_events)
-        with self.second_vm("vm-b") as vms:
-            for vm in vms:
-                self.log_path = vm["log_path"]
-                fleet.wait_until(
-                    lambda: self.log_match("event=fleet_size vms=2"), 20,
-                    "both VMs to be counted")
-            for vm in vms:
-                fleet.wait_until(lambda: self.answers_whole_request(vm), 20,
-                                 "the VM to serve the customer")
+        with self.two_serving_vms() as vms:
             borrower = vms[0] if self.metric(vms[0], "credit_asks_total") \
                 else vms[1]
             with concurrent.futures.ThreadPoolExecutor(12) as pool:
