Log the prompt's parts and the age of an answer when an engine goes down

Change: engine_down, with the parts, the probe's error and how long before the request was sent and its answer began. No logic changes.

--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -88,6 +88,10 @@
     bool try_engine(const placement& chosen);
     /** Reports a crash if the engine no longer accepts connections. */
     void report_if_crashed(const placement& chosen);
+    /** @param probe Why the engine's port could not be opened.
+     *  @param broken_at When the send failed. */
+    void log_engine_down(const placement& chosen, const error& probe,
+                         time_point broken_at) const;
     void log_failed_send(const placement& chosen,
                          const send_result& result) const;
     /** Connects, or takes an idle connection, and sends the request. */
@@ -158,6 +162,9 @@
     bool reserved_from_credit_ = false;
     bool may_have_run_ = false; ///< An engine may have run the request.
     std::uint32_t send_count_ = 0;
+    time_point sent_at_{}; ///< Start of the last send.
+    /** When the head of the last send's answer arrived, if it did. */
+    std::optional<time_point> answer_began_at_;
     std::set<server_id> tried_engines_;
     std::optional<std::string> last_failure_answer_;
     unsigned last_failure_status_ = 0;
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -107,17 +107,38 @@
 
 void exchange::report_if_crashed(const placement& chosen)
 {
+    const auto broken_at = context_.clock.now();
     // An engine that still accepts connections has not crashed.
     auto probe = context_.connection_pool.make();
-    if (context_.connection_pool.connect(chosen.engine, probe,
-                                         crash_probe_timeout)) {
+    const auto opened = context_.connection_pool.connect(chosen.engine, probe,
+                                                         crash_probe_timeout);
+    if (opened) {
         probe->max_idle_time = default_max_idle_time;
         context_.connection_pool.keep(std::move(probe), context_.clock.now());
         return;
     }
+    log_engine_down(chosen, opened.error(), broken_at);
     context_.control.report_crash(fingerprint(), chosen.engine.id);
 }
 
+void exchange::log_engine_down(const placement& chosen, const error& probe,
+                               time_point broken_at) const
+{
+    std::string parts;
+    for (const auto& part : request_head_.prompt)
+        parts += (parts.empty() ? "" : ",") + part.id;
+    context_.log.write(
+        "engine_down",
+        {{"req", request_head_.id},
+         {"request", fingerprint().value()},
+         {"parts", parts},
+         {"engine", chosen.engine.id.value()},
+         {"probe", probe.text},
+         {"sent_before_ms", broken_at - sent_at_},
+         {"answered_before_ms",
+          answer_began_at_ ? broken_at - *answer_began_at_ : duration(-1)}});
+}
+
 exchange::send_result exchange::send(const placement& chosen)
 {
     const auto now = context_.clock.now();
@@ -170,6 +191,8 @@
     connection->outgoing = encode_for_engine(chosen);
     connection->sending = true;
     ++send_count_;
+    sent_at_ = context_.clock.now();
+    answer_began_at_.reset();
     context_.metrics.add(counter::sends);
     if (last_event_id_ > initial_event_id_)
         context_.metrics.add(counter::resumes);
@@ -259,6 +282,7 @@
     if (!head.request_id_matches && !head.request_id.empty() &&
         !engine_connection_->fresh)
         return skip_outdated_answer(parser);
+    answer_began_at_ = context_.clock.now();
     record_engine_state(chosen, head);
     if (head.not_executed)
         return {head.status == 421 ? send_outcome::instance_mismatch
