--- a/tests/daemons/gateway_budget_test.py
+++ b/tests/daemons/gateway_budget_test.py
@@ -4,18 +4,12 @@
 import contextlib
 import re
 import signal
-import socket
 import time
 import unittest
 
 import fleet
-from gateway_harness import API_KEY, Client, GatewayTestCase, config
-
-
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+from gateway_harness import (API_KEY, Client, GatewayTestCase, config,
+                             free_port)
 
 
 class GatewayBudgetTest(GatewayTestCase):
@@ -218,25 +212,6 @@
         ledger, = customer_ledgers()
         self.assertLess(ledger["accounts"]["acme"]["closed"], 100_000)
 
-    @contextlib.contextmanager
-    def second_vm(self, name):
-        """Runs a second VM; yields ports, logs and processes of both."""
-        first = {key: getattr(self, key) for key in
-                 ("process", "log", "log_path", "port", "metrics_port",
-                  "ready_port", "vm", "peer_port")}
-        self.vm, self.peer_port = name, free_port()
-        self.start_router()
-        fleet.wait_until(self.is_ready, 20, "the second VM to be ready")
-        second = {key: getattr(self, key) for key in first}
-        try:
-            yield first, second
-        finally:
-            self.process.kill()
-            self.process.wait()
-            self.log.close()
-            for key, value in first.items():
-                setattr(self, key, value)
-
     @staticmethod
     def metric(vm, name):
         text = fleet.call(vm["metrics_port"], "GET", "/metrics")[2].decode()
--- a/tests/daemons/gateway_engine_test.py
+++ b/tests/daemons/gateway_engine_test.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from gateway_harness import Client, GatewayTestCase
+from gateway_harness import Client, GatewayTestCase, config
 
 
 class GatewayEngineTest(GatewayTestCase):
@@ -106,6 +106,84 @@
             reply.read()
         self.assertLess(self.resident_mb(), 80)
 
+    def test_answer_that_ends_with_its_connection_is_whole(self):
+        """An engine may state neither a length nor chunks."""
+        def answer_unframed(request):
+            request.send(request.response_head() + "\r\nall of it")
+            request.connection.close()
+        self.start_with_engines(answer_unframed, service="plain")
+        for method, path in (("GET", "/look/1"), ("POST", "/order/1")):
+            reply = Client(self.port).request(method, path)
+            self.assertEqual((reply.status, reply.read()),
+                             (200, b"all of it"))
+
+    def test_answer_without_length_that_is_reset_is_not_whole(self):
+        def reset_unframed(request):
+            request.send(request.response_head() + "\r\nhalf of")
+            time.sleep(0.05)
+            request.reset_connection()
+        self.start_with_engines(reset_unframed, service="plain")
+        reply = Client(self.port).request("POST", "/order/1", "x")
+        self.assertEqual(reply.status, 502)
+
+    @staticmethod
+    def send_unframed_stream(request, text):
+        request.send(request.response_head(
+            Content_Type="text/event-stream") + "\r\n" + text)
+        request.connection.close()
+
+    def test_stream_that_ends_with_its_connection_is_whole(self):
+        for end in ("\n", "\r\n"):
+            with self.subTest(end=end):
+                text = (f"id: 1{end}data: a{end}{end}"
+                        f"id: 2{end}data: b{end}{end}")
+                self.tearDown()
+                self.setUp()
+                self.start_with_engines(
+                    lambda request: self.send_unframed_stream(request, text))
+                reply = Client(self.port).chat()
+                self.assertEqual((reply.status, reply.read()),
+                                 (200, text.encode()))
+
+    def test_stream_that_ends_inside_an_event_is_resumed(self):
+        """Each is the first event and the beginning of the second."""
+        for rest in ("i", "id: 2", "id: 2\n", "id: 2\ndata: b",
+                     "id: 2\ndata: b\n"):
+            for framed in (False, True):
+                with self.subTest(rest=rest, framed=framed):
+                    self.tearDown()
+                    self.setUp()
+                    self.check_resumed_after_cut_event(rest, framed)
+
+    def check_resumed_after_cut_event(self, rest, framed):
+        def answer(request):
+            if request.headers.get("Last-Event-Id") == "1":
+                request.begin_stream()
+                request.send_event(2)
+                return request.end_stream()
+            text = "id: 1\ndata: piece 1\n\n" + rest
+            if not framed:
+                return self.send_unframed_stream(request, text)
+            request.send(request.response_head() +
+                         f"Content-Length: {len(text)}\r\n\r\n{text}")
+        self.start_with_engines(answer, answer)
+        reply = Client(self.port).chat()
+        self.assertEqual(
+            (reply.status, reply.read()),
+            (200, b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"))
+
+    def test_cut_event_of_a_stream_that_can_not_be_resumed_ends_it(self):
+        """The client must not take the answer for whole."""
+        def answer(request):
+            self.send_unframed_stream(
+                request, "id: 1\ndata: a\n\nid: 2\ndata: b\n")
+        routes = config(3)["routes"]
+        routes[0]["stream_resume"] = False
+        self.start_with_engines(answer, answer, routes=routes)
+        reply = Client(self.port).chat()
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            reply.read()
+
     def resident_mb(self):
         """Returns the peak resident memory of the router."""
         status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
--- a/tests/daemons/gateway_harness.py
+++ b/tests/daemons/gateway_harness.py
@@ -1,9 +1,11 @@
 """Test case that runs a router of the users' platform against stand-ins."""
 
+import contextlib
 import http.client
 import os
 import pathlib
 import re
+import socket
 import subprocess
 import tempfile
 import unittest
@@ -40,6 +42,12 @@
                          "prepaid": 1_000_000}], **extra_fields}
 
 
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 class Client:
     """A persistent connection to the router."""
 
@@ -126,6 +134,25 @@
         self.port, self.ready_port, self.metrics_port = map(
             int, ports.groups())
 
+    @contextlib.contextmanager
+    def second_vm(self, name):
+        """Runs a second VM; yields ports, logs and processes of both."""
+        first = {key: getattr(self, key) for key in
+                 ("process", "log", "log_path", "port", "metrics_port",
+                  "ready_port", "vm", "peer_port")}
+        self.vm, self.peer_port = name, free_port()
+        self.start_router()
+        fleet.wait_until(self.is_ready, 20, "the second VM to be ready")
+        second = {key: getattr(self, key) for key in first}
+        try:
+            yield first, second
+        finally:
+            self.process.kill()
+            self.process.wait()
+            self.log.close()
+            for key, value in first.items():
+                setattr(self, key, value)
+
     def is_ready(self):
         return fleet.call(self.ready_port, "GET", "/api/ready")[0] == 200
 
--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -1,5 +1,6 @@
 """Stand-ins for the metadata store and the engines of the users' platform."""
 
+import contextlib
 import http.server
 import json
 import socket
@@ -198,6 +199,7 @@
     def __init__(self, answer):
         self.answer = answer
         self.requests = []
+        self.connections = []
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -210,12 +212,23 @@
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
+    def crash(self):
+        """Closes the port and resets all connections."""
+        self.stop()
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      b"\1\0\0\0\0\0\0\0")
+                connection.shutdown(socket.SHUT_RD)
+                connection.close()
+
     def accept(self):
         while True:
             try:
                 connection, _ = self.listener.accept()
             except OSError:
                 return  # Stopped.
+            self.connections.append(connection)
             threading.Thread(target=self.serve, args=(connection,),
                              daemon=True).start()
 
