Block prompt parts that crash engines, by the crashes of the whole fleet

Cause: a crash was filed under a hash of path, key and body, so requests that share only a part of the prompt never met in the record. Change: the record keeps traits of requests, of which the fingerprint is one and each part of the prompt but the last is another. A trait is cleared by answers that began after its crash was known, for all VMs; what another trait explains isn't blocked, nor what an outage of many engines had in common. Engines count by start, not by id. Blocks outlast the VMs that saw the crashes, and a VM is ready only once it has read them. The answers of VMs that list crashes in the old form are logged as unreadable.

--- a/packages/common/id_type.hpp
+++ b/packages/common/id_type.hpp
@@ -91,9 +91,9 @@
 using idempotency_key = strong_string<struct idempotency_tag>;
 /** Name of a grant, unique among all holders. */
 using grant_id = strong_string<struct grant_tag>;
-/** Identifies a request by its path, caller and body; all its attempts have
- *  the same. */
-using request_fingerprint = strong_string<struct fingerprint_tag>;
+/** Something that requests have in common: path, caller and body, or one part
+ *  of their prompts. */
+using request_trait = strong_string<struct request_trait_tag>;
 /** Number of a request, unique on one VM. */
 using request_id = strong_number<struct request_tag>;
 /** Number of a platform call, unique on one VM. */
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -117,7 +117,7 @@
 bool control_service::ready() const
 {
     if (own_presence_.out_of_rotation || closing_ || !config_ ||
-        !engines_loaded_ || !budgets_started_)
+        !engines_loaded_ || !crashes_loaded_ || !budgets_started_)
         return false;
     // A single shard grants headroom for all customers in advance. With more
     // of them, headroom comes from other VMs, so these must be known.
@@ -190,6 +190,7 @@
     if (kind == platform::engine_kind)
         replace_engines(*list);
     apply(kind, events);
+    crashes_loaded_ = crashes_loaded_ || kind == platform::crash_kind;
     return true;
 }
 
@@ -243,6 +244,8 @@
         else if (event.object.name == platform::config_name && !event.removed)
             apply_config(event.object);
     }
+    if (kind == platform::crash_kind)
+        update_blocked();
     if (!events.empty())
         publish_view();
 }
@@ -301,6 +304,7 @@
         if (directory_.expire(clock_.now()))
             publish_view();
         update_blocked();
+        withdraw_old_crashes();
         log_.flush();
     }
 }
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -38,11 +38,13 @@
     /** Starts to acquire tokens that a request lacks: by renewing the grant
      *  or as credit from other VMs. */
     void request_budget(const customer_id& customer, token_count tokens);
-    /** Records that an engine went down while it had the request. */
-    void report_crash(const request_fingerprint& request,
-                      const server_id& engine);
-    /** Clears a suspected request that was served. */
-    void report_suspect_served(const request_fingerprint& request);
+    /** Records a request that an engine had when it went down. */
+    void report_crash(const crash_sighting& sighting);
+    /** Clears the traits of a suspected request that was served. */
+    void report_suspect_served(const std::vector<request_trait>& traits,
+                               time_point answer_began);
+    /** Extends the block that refused a request. */
+    void report_crashing_refused(const std::vector<request_trait>& traits);
     /** Returns credit and unspent headroom; if the ledger has several shards,
      *  also removes this VM's presence entry. Suspends the fiber. */
     void close_budgets();
@@ -100,7 +102,10 @@
     void apply_crashes(const platform::store_event& event);
     void on_crashes_changed();
     void publish_crashes();
+    /** Publishes anew if the entry still lists what has expired. */
+    void withdraw_old_crashes();
     void update_blocked();
+    void log_blocked(const std::vector<trait_combination>& blocked);
 
     boost::asio::io_context& io_;
     control_options options_;
@@ -128,8 +133,12 @@
     bool own_crashes_read_ = false;
     bool crashes_unpublished_ = false;
     bool publishing_crashes_ = false;
-    std::set<request_fingerprint> suspected_;
-    std::set<request_fingerprint> blocked_;
+    /** What this VM's entry in the store holds, and since when. */
+    vm_crashes published_crashes_;
+    time_point crashes_published_at_{};
+    bool crashes_loaded_ = false; ///< All VMs' entries were read once.
+    std::set<request_trait> suspected_;
+    std::vector<trait_combination> blocked_;
     bool closing_ = false;
     time_point started_ = clock_.now();
 };
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -3,9 +3,11 @@
 
 #include "common/hash_func.hpp"
 #include "gateway/header_text_func.hpp"
-#include "router/crash_record_base.hpp"
+#include "router/request_trait_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
+#include <algorithm>
+
 namespace rosemarydeck
 {
 
@@ -98,6 +100,7 @@
     if (!authenticate())
         return false;
     if (is_blocked()) {
+        context_.control.report_crashing_refused(traits());
         refuse(503, counter::refused_crashing, "crashes_engines",
                retry_after_blocked);
         return false;
@@ -130,15 +133,26 @@
     return false;
 }
 
-request_fingerprint exchange::fingerprint() const
+const std::vector<request_trait>& exchange::traits()
+{
+    if (traits_.empty())
+        traits_ = traits_of(request_head_, request_.body());
+    return traits_;
+}
+
+bool exchange::is_blocked()
 {
-    return fingerprint_of(request_head_.method, request_head_.target,
-                          request_head_.key, request_.body());
+    return !view_->blocked.empty() &&
+           has_blocked_traits(traits(), view_->blocked);
 }
 
-bool exchange::is_blocked() const
+bool exchange::is_suspected()
 {
-    return !view_->blocked.empty() && view_->blocked.count(fingerprint()) > 0;
+    return !view_->suspected.empty() &&
+           std::any_of(traits().begin(), traits().end(),
+                       [this](const auto& trait) {
+                           return view_->suspected.count(trait) > 0;
+                       });
 }
 
 service_id exchange::choose_service() const
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -49,6 +49,9 @@
     {
         send_outcome outcome = send_outcome::broken;
         bool answered = false; ///< The client has received a whole answer.
+        /** The engine served the request to its end. An answer without a length
+         *  may also end because the engine went down. */
+        bool served_whole = false;
         /** Answer with a 5xx status as text, not yet relayed to the client. */
         std::optional<std::string> failure_answer;
         unsigned failure_status = 0; ///< HTTP status of failure_answer.
@@ -71,8 +74,11 @@
      *  @return False if that can't succeed or took too long. */
     bool wait_for_headroom();
     /** @return True if the request is on record as crashing engines. */
-    bool is_blocked() const;
-    [[nodiscard]] request_fingerprint fingerprint() const;
+    bool is_blocked();
+    /** @return True if an engine went down that had a request with one of the
+     *  request's traits. */
+    bool is_suspected();
+    const std::vector<request_trait>& traits();
     /** Chooses among the route's services by weight, hashing the request id. */
     service_id choose_service() const;
 
@@ -91,7 +97,10 @@
     /** @param probe Why the engine's port could not be opened.
      *  @param broken_at When the send failed. */
     void log_engine_down(const placement& chosen, const error& probe,
-                         time_point broken_at) const;
+                         time_point broken_at);
+    /** @return True if the engine has been answering for so long that the
+     *  request is not what crashes it. */
+    [[nodiscard]] bool outlasted_start(time_point now) const;
     void log_failed_send(const placement& chosen,
                          const send_result& result) const;
     /** Connects, or takes an idle connection, and sends the request. */
@@ -153,6 +162,7 @@
     const customer_rule* customer_ = nullptr;
     service_id service_;
     placement_request placement_request_;
+    std::vector<request_trait> traits_; ///< Empty until traits() is called.
     time_point started_{};
     time_point deadline_{};
     boost::asio::steady_timer timer_;
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -32,6 +32,9 @@
 /** Connect time-out of the probe that tells a crashed engine from a lost
  *  connection. Covers a few round trips. */
 constexpr auto crash_probe_timeout = milliseconds(100);
+/** A request that crashes engines does so when its answer begins. A stream that
+ *  lasted longer is not the cause. */
+constexpr auto max_time_to_crash = milliseconds(1'000);
 /** Maximum size of an answer that is no stream, and of one event of a stream.
  *  A faulty engine may send bytes without end. */
 constexpr std::uint64_t max_answer_bytes = 8'388'608;
@@ -64,11 +67,11 @@
         abandoned_here ? send_outcome::abandoned : result.outcome, now);
     if (!result.answered)
         log_failed_send(chosen, result);
+    if (answer_began_at_ && (result.served_whole || outlasted_start(now)) &&
+        is_suspected())
+        context_.control.report_suspect_served(traits(), *answer_began_at_);
     if (result.answered) {
         answered_ = true;
-        if (!view_->suspected.empty() &&
-            view_->suspected.count(fingerprint()) > 0)
-            context_.control.report_suspect_served(fingerprint());
         return false;
     }
     if (result.outcome == send_outcome::broken && !abandoned_here)
@@ -118,11 +121,19 @@
         return;
     }
     log_engine_down(chosen, opened.error(), broken_at);
-    context_.control.report_crash(fingerprint(), chosen.engine.id);
+    if (!outlasted_start(broken_at))
+        context_.control.report_crash(
+            {traits(), chosen.engine.incarnation(), sent_at_});
+}
+
+bool exchange::outlasted_start(time_point now) const
+{
+    return answer_began_at_ && route_->repeat == repeat_rule::stream &&
+           now - *answer_began_at_ > max_time_to_crash;
 }
 
 void exchange::log_engine_down(const placement& chosen, const error& probe,
-                               time_point broken_at) const
+                               time_point broken_at)
 {
     std::string parts;
     for (const auto& part : request_head_.prompt)
@@ -130,7 +141,7 @@
     context_.log.write(
         "engine_down",
         {{"req", request_head_.id},
-         {"request", fingerprint().value()},
+         {"request", traits().front().value()},
          {"parts", parts},
          {"engine", chosen.engine.id.value()},
          {"probe", probe.text},
@@ -307,6 +318,8 @@
         if (!read_some(parser))
             return {send_outcome::broken};
     const auto body = std::move(parser.get().body());
+    const bool success = head.status < 300;
+    const bool framed = !parser.need_eof();
     return_to_pool(parser, head);
     http::response_header<> header(platform::forwardable_header(parser.get()));
     header.version(11);
@@ -317,12 +330,13 @@
         header.set(http::field::connection, "close");
     auto text = header_text(header) + body;
     if (head.status >= 500)
-        return {send_outcome::served, false, std::move(text), head.status};
+        return {send_outcome::served, false, false, std::move(text),
+                head.status};
     time_to_first_byte_ = elapsed();
     // An answer that arrives at the deadline still gets time to be written.
     const auto timeout = std::max<duration>(time_left(), milliseconds(500));
     const bool written = client_.write(text, timeout);
-    return {send_outcome::served, written};
+    return {send_outcome::served, written, success && framed};
 }
 
 void exchange::return_to_pool(const answer_parser& parser,
@@ -365,11 +379,12 @@
     }
     if (splitter.inside_event())
         return {send_outcome::broken};
+    const bool framed = !parser.need_eof();
     return_to_pool(parser, head);
     if (!stream_started_ && !send_stream_header(parser))
         return {send_outcome::broken};
     const bool written = client_.write("0\r\n\r\n", time_left());
-    return {send_outcome::served, written};
+    return {send_outcome::served, written, framed};
 }
 
 bool exchange::relay_events(const std::string& bytes,
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -90,16 +90,21 @@
             control_->request_budget(customer, tokens);
         });
     };
-    callbacks.report_crash = [this](const request_fingerprint& request,
-                                    const server_id& engine) {
-        boost::asio::post(io_, [this, request, engine] {
-            control_->report_crash(request, engine);
-        });
+    callbacks.report_crash = [this](const crash_sighting& sighting) {
+        boost::asio::post(
+            io_, [this, sighting] { control_->report_crash(sighting); });
     };
     callbacks.report_suspect_served =
-        [this](const request_fingerprint& request) {
-            boost::asio::post(io_, [this, request] {
-                control_->report_suspect_served(request);
+        [this](const std::vector<request_trait>& traits,
+               time_point answer_began) {
+            boost::asio::post(io_, [this, traits, answer_began] {
+                control_->report_suspect_served(traits, answer_began);
+            });
+        };
+    callbacks.report_crashing_refused =
+        [this](const std::vector<request_trait>& traits) {
+            boost::asio::post(io_, [this, traits] {
+                control_->report_crashing_refused(traits);
             });
         };
     return callbacks;
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -7,6 +7,7 @@
 #include "gateway/gateway_metrics_base.hpp"
 #include "gateway/gateway_settings_type.hpp"
 #include "ledger/wallet_base.hpp"
+#include "router/crash_record_base.hpp"
 #include "router/engine_selector_base.hpp"
 #include "router/link_load_base.hpp"
 #include "router/retry_budget_base.hpp"
@@ -23,10 +24,14 @@
      *  tokens for a request. */
     std::function<void(const customer_id&, token_count)> request_budget;
     /** Reports that an engine went down while it processed a request. */
-    std::function<void(const request_fingerprint&, const server_id&)>
-        report_crash;
-    /** Reports that a request suspected of crashing engines was served. */
-    std::function<void(const request_fingerprint&)> report_suspect_served;
+    std::function<void(const crash_sighting&)> report_crash;
+    /** Reports that a request suspected of crashing engines was served, and
+     *  when its answer began. */
+    std::function<void(const std::vector<request_trait>&, time_point)>
+        report_suspect_served;
+    /** Reports that a request was refused because it crashes engines. */
+    std::function<void(const std::vector<request_trait>&)>
+        report_crashing_refused;
 };
 
 /** State of the traffic thread, shared by all client connections. No other
--- a/packages/router/crash_record_base.hpp
+++ b/packages/router/crash_record_base.hpp
@@ -8,74 +8,170 @@
 namespace rosemarydeck
 {
 
-/** Hashes what identifies a request.
- *  @param target Path with query.
- *  @param caller Customer or API key.
- *  @return 16 hexadecimal digits. */
-request_fingerprint fingerprint_of(const std::string& method,
-                                   const std::string& target,
-                                   const std::string& caller,
-                                   const std::string& body);
-
 /** When requests are blocked because they crash engines. */
 struct crash_options
 {
-    /** Number of different engines that a request must have crashed to be
+    /** Number of engine incarnations that a trait must have crashed to be
      *  blocked. */
     std::size_t min_crashed_engines = 3;
-    /** How long a crash seen by this VM, and a report received from another
-     *  VM, is counted. */
+    /** How long a crash is counted that does not lead to a block. */
     duration crash_ttl = milliseconds(60'000);
+    /** How long a block holds after the last request that it refused. */
+    duration block_ttl = milliseconds(3'600'000);
+    /** A trait is not blocked while this VM served a request with it that
+     *  began within this time. Shorter than the time in which the fleet must
+     *  learn of a crash. */
+    duration served_period = milliseconds(1'500);
+    /** Maximum number of traits in the record of one VM. */
+    std::size_t max_traits = 256;
 };
 
-/** For each request, the engines that crashed while they had it. */
-using crashes_by_request = std::map<request_fingerprint, std::set<server_id>>;
+/** For each engine incarnation that went down while it had a request with a
+ *  trait: true if the request was sent although the trait was suspected. */
+using crashed_engines = std::map<server_id, bool>;
 
-/** The crashes that one VM saw, as published to the other VMs. */
+/** The crashes that one VM saw and those that it found unrelated to a trait, as
+ *  published to the other VMs. */
 struct vm_crashes
 {
-    crashes_by_request requests;
+    std::map<request_trait, crashed_engines> crashes;
+    std::map<request_trait, std::set<server_id>> cleared;
 
     bool operator==(const vm_crashes&) const = default;
 };
 
 ROSEMARYDECK_JSON_DECLARE(vm_crashes);
 
+/** A request that an engine had when it went down. */
+struct crash_sighting
+{
+    std::vector<request_trait> traits;
+    server_id engine; ///< Its incarnation.
+    time_point sent{};
+
+    bool operator==(const crash_sighting&) const = default;
+};
+
 /**
- * Counts, for each request, the engines that crashed while they had it, as
- * seen by this VM and reported by other VMs. A harmless request that ran on a
- * crashed engine beside the faulty one is cleared when an engine serves it.
+ * Finds out which requests crash engines, from the crashes that all VMs saw.
+ *
+ * When an engine goes down, all traits of the requests that it had are
+ * suspected. A request with a suspected trait that is served clears the trait
+ * of the crashes that were known when its answer began, since a trait that
+ * crashes engines does so whenever an answer begins. A trait is blocked if
+ * enough crashes remain that no other blocked trait explains, and one of them
+ * hit a request that was sent after another one was known: an outage that takes
+ * down many engines at once says nothing of the requests on them. Traits that
+ * remain with exactly the same crashes can't be told apart; then only requests
+ * that have all of them are blocked.
  */
 class crash_record
 {
 public:
     explicit crash_record(crash_options options = {});
 
-    /** Records that an engine crashed while it had the request. */
-    void record_crash(const request_fingerprint& request,
-                      const server_id& engine, time_point now);
-    /** Removes the crashes that this VM saw of a request, after an engine
-     *  served it. */
-    void clear(const request_fingerprint& request);
-    /** Replaces the crashes reported by another VM. */
-    void replace_peer_crashes(const vm_id& vm, crashes_by_request crashes,
+    /** Records a request that an engine had when it went down. */
+    void record_crash(const crash_sighting& sighting, time_point now);
+    /** Records that a request was served.
+     *  @param answer_began When its answer's first byte arrived.
+     *  @return True if that clears what the other VMs should know. */
+    bool record_served(const std::vector<request_trait>& traits,
+                       time_point answer_began, time_point now);
+    /** Extends the blocks that refused a request. */
+    void record_refused(const std::vector<request_trait>& traits,
+                        time_point now);
+    /** Replaces what another VM published; nothing if its entry is gone.
+     *  Crashes behind a block that it no longer lists are kept as this VM's
+     *  own, so that the block outlasts that VM.
+     *  @return True if this VM has to publish its crashes. */
+    bool replace_peer_crashes(const vm_id& vm, vm_crashes published,
                               time_point now);
+    /** Restores what this VM published before its process restarted. */
+    void restore_own(const vm_crashes& published, time_point now);
 
-    /** @return Crashes that this VM saw within the time to live. */
-    [[nodiscard]] crashes_by_request own(time_point now);
-    /** @return Requests that must not be sent to any engine. */
-    [[nodiscard]] std::set<request_fingerprint> blocked(time_point now);
+    /** Drops what has expired and updates the blocks. */
+    void update(time_point now);
+    /** Records that the other VMs can read what own() returns. */
+    void mark_published() { cleared_unpublished_.clear(); }
+    /** @return What this VM publishes, as of the last update. */
+    [[nodiscard]] vm_crashes own() const;
+    /** @return Combinations of traits whose requests must not be sent to any
+     *  engine, as of the last update. */
+    [[nodiscard]] const std::vector<trait_combination>& blocked() const
+    {
+        return blocked_;
+    }
+    /** @return Traits with crashes that nobody has cleared, as of the last
+     *  update. */
+    [[nodiscard]] std::set<request_trait> suspected() const;
 
 private:
+    /** A crash that this VM publishes. */
+    struct own_crash
+    {
+        bool sent_in_doubt = false;
+        time_point recorded{};
+    };
+
     struct peer_report
     {
-        crashes_by_request crashes;
+        vm_crashes published;
         time_point received{};
     };
 
+    /** A trait whose crashes are sufficient for a block. */
+    struct suspicion
+    {
+        request_trait trait;
+        crashed_engines engines;
+        bool cleared_before = false; ///< Of other crashes, by any VM.
+
+        /** @return True if enough crashes are left for a block. */
+        [[nodiscard]] bool sufficient(const crash_options& options) const;
+    };
+
+    /** What this VM knows of a trait since it was first suspected. */
+    struct trait_knowledge
+    {
+        std::map<server_id, time_point> learned; ///< By crashed engine.
+        std::optional<time_point> served;        ///< Latest start of an answer.
+        bool cleared_before = false;
+        time_point changed{};
+    };
+
+    void learn(const request_trait& trait, const server_id& engine,
+               time_point now);
+    /** Records crashes as this VM's own. */
+    void adopt(const request_trait& trait, const crashed_engines& engines,
+               time_point now);
+    [[nodiscard]] bool is_held(const request_trait& trait,
+                               time_point now) const;
+    [[nodiscard]] bool is_cleared(const request_trait& trait,
+                                  const server_id& engine) const;
+    /** Updates open_ and cleared_ from the own crashes and the reports. */
+    void combine_reports();
+    /** @return Suspicions that are sufficient for a block, the most probable
+     *  first. */
+    [[nodiscard]] std::vector<suspicion> candidates(time_point now) const;
+    void expire(time_point now);
+    void expire_knowledge(time_point now);
+    void limit_size(time_point now);
+
     crash_options options_;
-    std::map<request_fingerprint, std::map<server_id, time_point>> own_crashes_;
+    std::map<request_trait, std::map<server_id, own_crash>> own_crashes_;
+    std::map<request_trait, std::set<server_id>> own_cleared_;
+    /** Traits of own crashes that were cleared while no other VM suspected
+     *  them, and that the entry of this VM still lists. */
+    std::set<request_trait> cleared_unpublished_;
     std::map<vm_id, peer_report> reports_;
+    std::map<request_trait, trait_knowledge> knowledge_;
+    std::map<request_trait, time_point> held_until_; ///< Of blocked traits.
+    std::vector<trait_combination> blocked_;
+
+    // Of all VMs, as of the last update:
+    std::map<request_trait, crashed_engines> open_; ///< Not cleared.
+    std::map<request_trait, std::set<server_id>> listed_by_peers_;
+    std::map<request_trait, std::set<server_id>> cleared_;
 };
 
 } // namespace rosemarydeck
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -19,6 +19,9 @@
 
 using std::chrono::milliseconds;
 
+/** Traits that a request must have together. */
+using trait_combination = std::set<request_trait>;
+
 /** Name of a service, a set of engines that routes send requests to. */
 using service_id = strong_string<struct service_tag>;
 
@@ -173,6 +176,14 @@
 
     bool operator==(const engine_info&) const = default;
 
+    /** @return Name of this incarnation: an engine may start again under its
+     *  id. */
+    [[nodiscard]] server_id incarnation() const
+    {
+        return started_at_ms == 0 ? id
+                                  : server_id(id.value() + "@" +
+                                              std::to_string(started_at_ms));
+    }
     /** @return Address and port, as in 10.0.0.1:80. */
     [[nodiscard]] std::string endpoint() const
     {
@@ -188,10 +199,11 @@
     std::map<service_id, std::vector<engine_info>> engines; ///< Sorted by id.
     /** Number of running VMs, this one included; 0 if unknown. */
     std::uint32_t live_vms = 0;
-    /** Requests that crash engines and are refused. */
-    std::set<request_fingerprint> blocked;
-    /** Requests that ran on an engine when this VM saw it crash. */
-    std::set<request_fingerprint> suspected;
+    /** Requests with all traits of a combination crash engines and are refused.
+     */
+    std::vector<trait_combination> blocked;
+    /** Traits of requests that engines had when they went down. */
+    std::set<request_trait> suspected;
 };
 
 } // namespace rosemarydeck
--- a/packages/router/router_json_func.cpp
+++ b/packages/router/router_json_func.cpp
@@ -12,16 +12,24 @@
 
 void to_json(nlohmann::json& json, const vm_crashes& value)
 {
-    json = nlohmann::json::object();
-    for (const auto& [request, engines] : value.requests)
-        json[request.value()] = engines;
+    json = {{"crashes", nlohmann::json::object()},
+            {"cleared", nlohmann::json::object()}};
+    for (const auto& [trait, engines] : value.crashes)
+        for (const auto& [engine, in_doubt] : engines)
+            json["crashes"][trait.value()][engine.value()] = in_doubt;
+    for (const auto& [trait, engines] : value.cleared)
+        json["cleared"][trait.value()] = engines;
 }
 
 void from_json(const nlohmann::json& json, vm_crashes& value)
 {
-    value.requests.clear();
-    for (const auto& [request, engines] : json.items())
-        engines.get_to(value.requests[request_fingerprint(request)]);
+    value = {};
+    for (const auto& [trait, engines] : json.at("crashes").items())
+        for (const auto& [engine, in_doubt] : engines.items())
+            value.crashes[request_trait(trait)][server_id(engine)] =
+                in_doubt.get<bool>();
+    for (const auto& [trait, engines] : json.at("cleared").items())
+        engines.get_to(value.cleared[request_trait(trait)]);
 }
 
 } // namespace rosemarydeck
--- a/packages/router/test/router_test.cpp
+++ b/packages/router/test/router_test.cpp
@@ -127,42 +127,6 @@
     }));
 }
 
-TEST_CASE("A request is blocked after it crashed three engines in the fleet",
-          "[crash]")
-{
-    crash_record record;
-    const auto bad = fingerprint_of("POST", "/a/1", "acme", "boom");
-    const auto other = fingerprint_of("POST", "/a/1", "acme", "fine");
-    CHECK(bad != other);
-    CHECK(bad == fingerprint_of("POST", "/a/1", "acme", "boom"));
-    record.record_crash(bad, server_id("e1"), at(0ms));
-    record.record_crash(bad, server_id("e2"), at(100ms));
-    record.record_crash(other, server_id("e1"), at(0ms));
-    CHECK(record.blocked(at(1s)).empty());
-    // VM b saw one of the same crashes; VM c saw that of a third engine.
-    record.replace_peer_crashes(vm_id("b"), {{bad, {server_id("e2")}}},
-                                at(0ms));
-    CHECK(record.blocked(at(1s)).empty());
-    record.replace_peer_crashes(
-        vm_id("c"), {{bad, {server_id("e3")}}, {other, {server_id("e2")}}},
-        at(0ms));
-    CHECK(record.blocked(at(1s)) == std::set<request_fingerprint>{bad});
-    CHECK(record.blocked(at(70s)).empty());
-}
-
-TEST_CASE("A request that ran beside a crashing one is cleared when served",
-          "[crash]")
-{
-    crash_record record;
-    const auto harmless = fingerprint_of("GET", "/a/1", "acme", "");
-    record.record_crash(harmless, server_id("e1"), at(0ms));
-    record.record_crash(harmless, server_id("e2"), at(0ms));
-    record.clear(harmless);
-    record.record_crash(harmless, server_id("e3"), at(1s));
-    CHECK(record.blocked(at(1s)).empty());
-    CHECK(record.own(at(1s)).at(harmless).size() == 1);
-}
-
 TEST_CASE("Only shared parts count as a prompt's shared prefix", "[request]")
 {
     request_head head;
@@ -175,21 +139,6 @@
     CHECK(head.shared_tokens() == 130);
 }
 
-TEST_CASE("The crash report of a VM expires when the VM has ended", "[crash]")
-{
-    crash_record record;
-    const auto bad = fingerprint_of("GET", "/a/1", "acme", "boom");
-    const std::set<server_id> engines{server_id("e1"), server_id("e2"),
-                                      server_id("e3")};
-    record.replace_peer_crashes(vm_id("b"), {{bad, engines}}, at(0ms));
-    CHECK(record.blocked(at(59s)).count(bad) == 1);
-    CHECK(record.blocked(at(60s)).empty());
-    record.replace_peer_crashes(vm_id("b"), {{bad, engines}}, at(70s));
-    CHECK(record.blocked(at(71s)).count(bad) == 1);
-    record.replace_peer_crashes(vm_id("b"), {}, at(72s));
-    CHECK(record.blocked(at(73s)).empty());
-}
-
 TEST_CASE("A VM is live until its entry has been unchanged for the timeout",
           "[presence]")
 {
@@ -236,12 +185,18 @@
         nlohmann::json::parse(nlohmann::json(here).dump()).get<vm_presence>() ==
         here);
     const vm_crashes seen{
-        {{request_fingerprint("f1"), {server_id("e1"), server_id("e2")}}}};
+        {{request_trait("f1"),
+          {{server_id("e1"), false}, {server_id("e2"), true}}}},
+        {{request_trait("f2"), {server_id("e1"), server_id("e3")}}}};
     CHECK(
         nlohmann::json::parse(nlohmann::json(seen).dump()).get<vm_crashes>() ==
         seen);
     CHECK_THROWS_AS(nlohmann::json("text").get<vm_crashes>(),
                     nlohmann::json::exception);
-    CHECK_THROWS_AS(nlohmann::json({{"f1", 4}}).get<vm_crashes>(),
-                    nlohmann::json::exception);
+    for (const auto* malformed :
+         {R"({"f1": 4})", R"({"crashes": {"f1": 4}, "cleared": {}})",
+          R"({"crashes": {"f1": ["e1"]}, "cleared": {}})",
+          R"({"crashes": {}, "cleared": {"f1": 4}})"})
+        CHECK_THROWS_AS(nlohmann::json::parse(malformed).get<vm_crashes>(),
+                        nlohmann::json::exception);
 }
--- a/tests/daemons/gateway_budget_test.py
+++ b/tests/daemons/gateway_budget_test.py
@@ -153,8 +153,12 @@
             "the crash to be noticed").group(1)
         published = fleet.wait_until(lambda: self.store.objects.get(
             ("rosemarydeck-crashes", "vm-a")), 20, "the crash to be published")
-        self.assertEqual(published["spec"], {crash_id: ["i-0"]})
-        self.store.put("rosemarydeck-crashes", "vm-b", {crash_id: ["x", "y"]})
+        self.assertEqual(published["spec"],
+                         {"crashes": {crash_id: {"i-0": False}},
+                          "cleared": {}})
+        self.store.put("rosemarydeck-crashes", "vm-b",
+                       {"crashes": {crash_id: {"x": True, "y": False}},
+                        "cleared": {}})
         fleet.wait_until(lambda: self.log_match("event=request_blocked"), 20,
                          "the request to be blocked")
         self.store.put("rosemarydeck-crashes", "vm-c", ["unreadable"])
