Accept events whose lines end with CR LF

Callers saw: 502 engine_lost for streams whose events end with CR LF CR LF; no event was ever complete. Cause: the splitter looked for LF LF only. Change: a blank line may be LF or CR LF, also where it spans two reads.

--- a/packages/gateway/event_splitter_base.cpp
+++ b/packages/gateway/event_splitter_base.cpp
@@ -33,24 +33,36 @@
     return std::nullopt;
 }
 
+/** @return Position after the blank line that ends the first event, or npos. */
+std::size_t find_event_end(const std::string& text, std::size_t from)
+{
+    for (auto line_end = text.find('\n', from); line_end != std::string::npos;
+         line_end = text.find('\n', line_end + 1)) {
+        if (text.compare(line_end + 1, 1, "\n") == 0)
+            return line_end + 2;
+        if (text.compare(line_end + 1, 2, "\r\n") == 0)
+            return line_end + 3;
+    }
+    return std::string::npos;
+}
+
 } // namespace
 
 std::vector<stream_event> event_splitter::feed(const std::string& bytes)
 {
     std::vector<stream_event> events;
     // The blank line that ends an event may span the old and the new bytes.
-    auto search_from = pending_.empty() ? 0 : pending_.size() - 1;
+    auto search_from = pending_.size() < 2 ? 0 : pending_.size() - 2;
     pending_ += bytes;
     std::size_t event_start = 0;
     while (true) {
-        const auto end = pending_.find("\n\n", search_from);
+        const auto end = find_event_end(pending_, search_from);
         if (end == std::string::npos)
             break;
-        stream_event event{pending_.substr(event_start, end + 2 - event_start),
-                           {}};
+        stream_event event{pending_.substr(event_start, end - event_start), {}};
         event.id = parse_event_id(event.bytes);
         events.push_back(std::move(event));
-        event_start = end + 2;
+        event_start = end;
         search_from = event_start;
     }
     pending_.erase(0, event_start);
--- a/packages/gateway/test/gateway_test.cpp
+++ b/packages/gateway/test/gateway_test.cpp
@@ -21,6 +21,17 @@
     CHECK_FALSE(splitter.inside_event());
 }
 
+TEST_CASE("Lines of events may end with CR LF", "[events]")
+{
+    event_splitter splitter;
+    CHECK(splitter.feed("id: 1\r\ndata: a\r\n\r").empty());
+    const auto events = splitter.feed("\nid: 2\r\n\r\nid");
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].bytes == "id: 1\r\ndata: a\r\n\r\n");
+    CHECK(events[1].id == 2);
+    CHECK(splitter.inside_event());
+}
+
 TEST_CASE("An event id that is not a number is ignored", "[events]")
 {
     event_splitter splitter;
@@ -33,7 +44,7 @@
 {
     CHECK(rc::check("cuts", [] {
         const auto text = *rc::gen::container<std::string>(
-            rc::gen::element('i', 'd', ':', ' ', '4', '\n', '\n'));
+            rc::gen::element('i', 'd', ':', ' ', '4', '\r', '\n', '\n'));
         event_splitter whole;
         auto expected = whole.feed(text);
         event_splitter cut;
