Decode and log the limit that an engine names in its answers

Change: answer_head::request_limit and the line engine_limit. No decision uses them yet. Measured: platform_test passes.

--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -257,6 +257,11 @@
                             {"engine", chosen.engine.id.value()},
                             {"born", chosen.engine.started_at_ms}});
     }
+    if (head.request_limit)
+        context_.log.write("engine_limit",
+                           {{"req", request_head_.id},
+                            {"engine", chosen.engine.id.value()},
+                            {"per_s", *head.request_limit}});
     if (head.rest_time) {
         context_.selector.record_rest(chosen.engine.id, now + *head.rest_time);
         context_.log.write("engine_rests",
--- a/packages/router/request_type.hpp
+++ b/packages/router/request_type.hpp
@@ -84,6 +84,8 @@
     bool leaving = false; ///< The engine is about to stop.
     /** Time for which an overloaded engine wants no further requests. */
     std::optional<milliseconds> rest_time;
+    /** Requests a second that the engine takes from all VMs together. */
+    std::optional<double> request_limit;
     /** How long the engine keeps the connection open while it is idle. */
     std::optional<std::chrono::seconds> idle_timeout;
 };
