Keep to the limits that engines name, summed over all VMs

Cause: the limit in an answer was not read. Had each VM kept to it alone, the fleet would still have sent the limit times the number of VMs. Change: each VM takes its turns by rank among the running VMs, so the sum keeps to the limit without messages; notices in the VMs' entries bring a limit to VMs that were not told, restart or come late. The entry that held crashes is now a report of crashes and notices. If all engines limit their requests, clients are refused at once and told when the next turn comes.

--- a/packages/gateway/control_crash.cpp
+++ b/packages/gateway/control_report.cpp
@@ -1,4 +1,4 @@
-/** @file control_crash.cpp Crash records, shared between the VMs. */
+/** @file control_report.cpp What VMs learn of engines, shared between them. */
 #include "gateway/control_service_base.hpp"
 
 #include "web/fiber_scheduler_base.hpp"
@@ -12,7 +12,7 @@
 namespace
 {
 
-/** Pause before a failed write of the crash record is retried. */
+/** Pause before a failed write of the report is retried. */
 constexpr auto publish_retry_delay = milliseconds(300);
 /** How long this VM's entry may list crashes that have expired. */
 constexpr auto max_outdated_time = milliseconds(60'000);
@@ -35,7 +35,7 @@
         log_.write("crash_seen", {{"request", trait.value()},
                                   {"engine", sighting.engine.value()}});
     crashes_.record_crash(sighting, clock_.now());
-    on_crashes_changed();
+    on_report_changed();
 }
 
 void control_service::report_suspect_served(
@@ -44,7 +44,7 @@
     if (!crashes_.record_served(traits, answer_began, clock_.now()))
         return;
     log_.write("crash_cleared", {{"request", join(traits)}});
-    on_crashes_changed();
+    on_report_changed();
 }
 
 void control_service::report_crashing_refused(
@@ -53,65 +53,96 @@
     crashes_.record_refused(traits, clock_.now());
 }
 
-void control_service::apply_crashes(const platform::store_event& event)
+void control_service::report_notice(const server_id& engine,
+                                    const engine_notice& notice)
+{
+    if (!notices_.record_own(engine, notice))
+        return;
+    publish_view();
+    on_report_changed();
+}
+
+vm_report control_service::own_report() const
+{
+    return {crashes_.own(), notices_.own()};
+}
+
+void control_service::drop_old_notices()
+{
+    if (notices_.latest().empty())
+        return;
+    std::set<server_id> listed;
+    for (const auto& [service, engines] : directory_.usable())
+        for (const auto& engine : engines)
+            listed.insert(engine.incarnation());
+    notices_.drop_unlisted(listed, clock_.now());
+}
+
+void control_service::apply_report(const platform::store_event& event)
 {
     const vm_id vm(event.object.name);
     bool publish = false;
     try {
         auto published =
-            event.removed ? vm_crashes{} : event.object.spec.get<vm_crashes>();
-        if (vm != options_.settings.vm)
-            publish = crashes_.replace_peer_crashes(vm, std::move(published),
-                                                    clock_.now());
-        else if (!std::exchange(own_crashes_read_, true))
-            crashes_.restore_own(published, clock_.now());
+            event.removed ? vm_report{} : event.object.spec.get<vm_report>();
+        if (vm != options_.settings.vm) {
+            const auto now = clock_.now();
+            publish = crashes_.replace_peer_crashes(
+                vm, std::move(published.crashes), now);
+            publish |= notices_.replace_peer(vm, std::move(published.notices));
+        }
+        else if (!std::exchange(own_report_read_, true)) {
+            crashes_.restore_own(published.crashes, clock_.now());
+            for (const auto& [engine, notice] : published.notices)
+                notices_.record_own(engine, notice);
+        }
     }
     catch (const nlohmann::json::exception& fault) {
-        log_.write("crashes_unreadable",
+        log_.write("report_unreadable",
                    {{"vm", vm.value()}, {"why", fault.what()}});
     }
     if (publish)
-        on_crashes_changed();
+        on_report_changed();
 }
 
-void control_service::on_crashes_changed()
+void control_service::on_report_changed()
 {
     update_blocked();
     // At most one fiber publishes; it includes what is recorded meanwhile.
-    crashes_unpublished_ = true;
-    if (std::exchange(publishing_crashes_, true))
+    report_unpublished_ = true;
+    if (std::exchange(publishing_report_, true))
         return;
     boost::fibers::fiber(boost::fibers::launch::post, [this] {
-        publish_crashes();
+        publish_report();
     }).detach();
 }
 
-void control_service::publish_crashes()
+void control_service::publish_report()
 {
-    while (std::exchange(crashes_unpublished_, false)) {
-        own_crashes_read_ = true;
-        const auto seen = crashes_.own();
-        if (write_own_object(platform::crash_kind, nlohmann::json(seen),
-                             crash_revision_)) {
-            published_crashes_ = seen;
-            crashes_published_at_ = clock_.now();
+    while (std::exchange(report_unpublished_, false)) {
+        own_report_read_ = true;
+        auto report = own_report();
+        if (write_own_object(platform::report_kind, nlohmann::json(report),
+                             report_revision_)) {
+            published_report_ = std::move(report);
+            report_published_at_ = clock_.now();
             crashes_.mark_published();
             fiber_sleep(io_, intervals_.between_crash_writes);
             continue;
         }
-        crashes_unpublished_ = true;
+        report_unpublished_ = true;
         fiber_sleep(io_, publish_retry_delay);
     }
-    publishing_crashes_ = false;
+    publishing_report_ = false;
 }
 
-void control_service::withdraw_old_crashes()
+void control_service::withdraw_old_report()
 {
-    if (publishing_crashes_ || published_crashes_ == vm_crashes{} ||
-        clock_.now() < crashes_published_at_ + max_outdated_time ||
-        crashes_.own() == published_crashes_)
+    if (publishing_report_ || published_report_ == vm_report{} ||
+        clock_.now() < report_published_at_ + max_outdated_time ||
+        own_report() == published_report_)
         return;
-    on_crashes_changed();
+    on_report_changed();
 }
 
 void control_service::update_blocked()
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -91,7 +91,7 @@
     using boost::fibers::fiber;
     using boost::fibers::launch;
     for (const auto* kind :
-         {platform::config_kind, platform::engine_kind, platform::crash_kind})
+         {platform::config_kind, platform::engine_kind, platform::report_kind})
         fiber(launch::post, [this, kind] { synchronize(kind); }).detach();
     fiber(launch::post, [this] { start_budgets(); }).detach();
     fiber(launch::post, [this] { run_presence(); }).detach();
@@ -117,7 +117,7 @@
 bool control_service::ready() const
 {
     if (own_presence_.out_of_rotation || closing_ || !config_ ||
-        !engines_loaded_ || !crashes_loaded_ || !budgets_started_)
+        !engines_loaded_ || !reports_loaded_ || !budgets_started_)
         return false;
     // A single shard grants headroom for all customers in advance. With more
     // of them, headroom comes from other VMs, so these must be known.
@@ -148,8 +148,8 @@
 {
     if (kind == platform::engine_kind)
         return intervals_.after_engines;
-    return kind == platform::crash_kind ? intervals_.after_crashes
-                                        : intervals_.after_config;
+    return kind == platform::report_kind ? intervals_.after_crashes
+                                         : intervals_.after_config;
 }
 
 expected<platform::store_list>
@@ -190,7 +190,7 @@
     if (kind == platform::engine_kind)
         replace_engines(*list);
     apply(kind, events);
-    crashes_loaded_ = crashes_loaded_ || kind == platform::crash_kind;
+    reports_loaded_ = reports_loaded_ || kind == platform::report_kind;
     return true;
 }
 
@@ -239,12 +239,12 @@
     for (const auto& event : events) {
         if (kind == platform::engine_kind)
             apply_engine(event);
-        else if (kind == platform::crash_kind)
-            apply_crashes(event);
+        else if (kind == platform::report_kind)
+            apply_report(event);
         else if (event.object.name == platform::config_name && !event.removed)
             apply_config(event.object);
     }
-    if (kind == platform::crash_kind)
+    if (kind == platform::report_kind)
         update_blocked();
     if (!events.empty())
         publish_view();
@@ -304,7 +304,8 @@
         if (directory_.expire(clock_.now()))
             publish_view();
         update_blocked();
-        withdraw_old_crashes();
+        drop_old_notices();
+        withdraw_old_report();
         log_.flush();
     }
 }
@@ -315,6 +316,8 @@
     view->config = config_;
     view->engines = directory_.usable();
     view->live_vms = presence_.live_vms(clock_.now());
+    view->vm_rank = presence_.rank(clock_.now());
+    view->notices = notices_.latest();
     view->blocked = blocked_;
     view->suspected = suspected_;
     options_.publish(std::move(view));
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -4,9 +4,9 @@
 #include "gateway/budget_shard_base.hpp"
 #include "gateway/credit_service_base.hpp"
 #include "gateway/store_client_base.hpp"
-#include "router/crash_record_base.hpp"
 #include "router/engine_directory_base.hpp"
 #include "router/fleet_presence_base.hpp"
+#include "router/vm_report_type.hpp"
 
 #include <functional>
 
@@ -45,6 +45,8 @@
                                time_point answer_began);
     /** Extends the block that refused a request. */
     void report_crashing_refused(const std::vector<request_trait>& traits);
+    /** Records what an incarnation of an engine said of itself. */
+    void report_notice(const server_id& engine, const engine_notice& notice);
     /** Returns credit and unspent headroom; if the ledger has several shards,
      *  also removes this VM's presence entry. Suspends the fiber. */
     void close_budgets();
@@ -90,7 +92,7 @@
     prepaid_totals(std::uint32_t number) const;
     [[nodiscard]] ledger_writer_options writer_options() const;
 
-    // Presence and crash records of the VMs.
+    // Presence and reports of the VMs.
     void run_presence();
     bool send_heartbeat();
     void refresh_presence();
@@ -99,11 +101,14 @@
     void leave_fleet();
     bool write_own_object(const char* kind, const nlohmann::json& spec,
                           std::uint64_t& revision);
-    void apply_crashes(const platform::store_event& event);
-    void on_crashes_changed();
-    void publish_crashes();
+    void apply_report(const platform::store_event& event);
+    void on_report_changed();
+    void publish_report();
+    /** @return What this VM publishes to the others now. */
+    [[nodiscard]] vm_report own_report() const;
     /** Publishes anew if the entry still lists what has expired. */
-    void withdraw_old_crashes();
+    void withdraw_old_report();
+    void drop_old_notices();
     void update_blocked();
     void log_blocked(const std::vector<trait_combination>& blocked);
 
@@ -128,15 +133,16 @@
     std::uint64_t presence_revision_ = 0;
     time_point next_call_summary_{};
     crash_record crashes_;
-    std::uint64_t crash_revision_ = 0;
-    /** True once this VM's record was read from the store or written there. */
-    bool own_crashes_read_ = false;
-    bool crashes_unpublished_ = false;
-    bool publishing_crashes_ = false;
+    notice_board notices_;
+    std::uint64_t report_revision_ = 0;
+    /** True once this VM's report was read from the store or written there. */
+    bool own_report_read_ = false;
+    bool report_unpublished_ = false;
+    bool publishing_report_ = false;
     /** What this VM's entry in the store holds, and since when. */
-    vm_crashes published_crashes_;
-    time_point crashes_published_at_{};
-    bool crashes_loaded_ = false; ///< All VMs' entries were read once.
+    vm_report published_report_;
+    time_point report_published_at_{};
+    bool reports_loaded_ = false; ///< All VMs' entries were read once.
     std::set<request_trait> suspected_;
     std::vector<trait_combination> blocked_;
     bool closing_ = false;
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -113,6 +113,7 @@
     send_result skip_outdated_answer(answer_parser& parser);
     /** Records what an answer says of the engine's own state. */
     void record_engine_state(const placement& chosen, const answer_head& head);
+    void record_engine_limit(const placement& chosen, const answer_head& head);
     /** Reads an answer that is no event stream; relays it unless its status is
      *  5xx. */
     send_result relay_whole_answer(answer_parser& parser,
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -257,11 +257,7 @@
                             {"engine", chosen.engine.id.value()},
                             {"born", chosen.engine.started_at_ms}});
     }
-    if (head.request_limit)
-        context_.log.write("engine_limit",
-                           {{"req", request_head_.id},
-                            {"engine", chosen.engine.id.value()},
-                            {"per_s", *head.request_limit}});
+    record_engine_limit(chosen, head);
     if (head.rest_time) {
         context_.selector.record_rest(chosen.engine.id, now + *head.rest_time);
         context_.log.write("engine_rests",
@@ -271,6 +267,24 @@
     }
 }
 
+void exchange::record_engine_limit(const placement& chosen,
+                                   const answer_head& head)
+{
+    // An answer that the engine did not make itself says nothing of a limit.
+    if (!head.request_limit && !(head.sealed && head.status < 300))
+        return;
+    const auto notice = context_.selector.record_limit(
+        chosen.engine, head.request_limit, sent_at_, context_.clock.now());
+    if (!notice)
+        return;
+    context_.log.write("engine_limit",
+                       {{"req", request_head_.id},
+                        {"engine", chosen.engine.incarnation().value()},
+                        {"per_s", notice->limit_per_s.value_or(-1)},
+                        {"vms", view_->live_vms}});
+    context_.control.report_notice(chosen.engine.incarnation(), *notice);
+}
+
 exchange::send_result exchange::skip_outdated_answer(answer_parser& parser)
 {
     while (!parser.is_done())
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -107,6 +107,12 @@
                 control_->report_crashing_refused(traits);
             });
         };
+    callbacks.report_notice = [this](const server_id& engine,
+                                     const engine_notice& notice) {
+        boost::asio::post(io_, [this, engine, notice] {
+            control_->report_notice(engine, notice);
+        });
+    };
     return callbacks;
 }
 
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -32,6 +32,8 @@
     /** Reports that a request was refused because it crashes engines. */
     std::function<void(const std::vector<request_trait>&)>
         report_crashing_refused;
+    /** Reports what an incarnation of an engine said of itself. */
+    std::function<void(const server_id&, const engine_notice&)> report_notice;
 };
 
 /** State of the traffic thread, shared by all client connections. No other
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -96,7 +96,7 @@
 {
     boost::asio::post(io_, [this, view = std::move(view)] {
         context_.view = view;
-        context_.selector.drop_unlisted(*view, context_.clock.now());
+        context_.selector.apply_view(*view, context_.clock.now());
     });
 }
 
--- /dev/null
+++ b/packages/router/engine_limit.cpp
@@ -0,0 +1,100 @@
+/** @file engine_limit.cpp Limits that engines set on the requests of all VMs.
+ */
+#include "router/engine_notice_base.hpp"
+#include "router/engine_selector_base.hpp"
+
+#include <cmath>
+
+namespace rosemarydeck
+{
+
+std::optional<engine_notice>
+engine_selector::record_limit(const engine_info& engine,
+                              std::optional<double> limit_per_s,
+                              time_point sent, time_point now)
+{
+    const auto* known = find_limit(engine);
+    const auto known_limit =
+        known == nullptr ? std::nullopt : known->notice.limit_per_s;
+    if (!limit_per_s && !known_limit)
+        return std::nullopt;
+    // The answer to a request that was sent before this VM knew of the limit
+    // may be older than the limit.
+    if (!limit_per_s && known->learned > sent)
+        return std::nullopt;
+    if (limit_per_s && known_limit &&
+        std::abs(*limit_per_s - *known_limit) <=
+            options_.min_limit_change * *known_limit)
+        return std::nullopt;
+    const engine_notice notice{known == nullptr ? 1 : known->notice.version + 1,
+                               limit_per_s};
+    update_limit(engine.incarnation(), notice, now);
+    return notice;
+}
+
+void engine_selector::update_limit(const server_id& incarnation,
+                                   const engine_notice& notice, time_point now)
+{
+    const auto [known, added] =
+        limits_.try_emplace(incarnation, request_limit{notice, now, {}});
+    if (!added) {
+        if (!supersedes(notice, known->second.notice))
+            return;
+        known->second.notice = notice;
+        known->second.learned = now;
+    }
+    update_pace(known->second, now);
+}
+
+void engine_selector::update_pace(request_limit& limit, time_point now) const
+{
+    if (!limit.notice.limit_per_s)
+        return limit.pace.reset();
+    const pace_options options{
+        .limit_per_s = *limit.notice.limit_per_s,
+        .vms = live_vms_ == 0 ? options_.unknown_fleet_vms : live_vms_,
+        .rank = vm_rank_};
+    if (!limit.pace || limit.pace->options() != options)
+        limit.pace.emplace(options, now);
+}
+
+const engine_selector::request_limit*
+engine_selector::find_limit(const engine_info& engine) const
+{
+    if (limits_.empty())
+        return nullptr;
+    const auto found = limits_.find(engine.incarnation());
+    return found == limits_.end() ? nullptr : &found->second;
+}
+
+void engine_selector::apply_view(const fleet_view& view, time_point now)
+{
+    if (view.live_vms != 0) {
+        live_vms_ = view.live_vms;
+        vm_rank_ = view.vm_rank;
+    }
+    for (const auto& [incarnation, notice] : view.notices)
+        update_limit(incarnation, notice, now);
+    for (auto& [incarnation, limit] : limits_)
+        update_pace(limit, now);
+    std::erase_if(departures_, [&](const auto& one) {
+        return now - one.second.recorded > options_.departure_ttl;
+    });
+    std::set<server_id> listed;
+    std::set<server_id> listed_incarnations;
+    for (const auto& [service, engines] : view.engines)
+        for (const auto& engine : engines) {
+            listed.insert(engine.id);
+            listed_incarnations.insert(engine.incarnation());
+        }
+    std::erase_if(records_, [&](const auto& one) {
+        return one.second.open == 0 && one.second.rest_until <= now &&
+               !listed.count(one.first);
+    });
+    std::erase_if(limits_, [&](const auto& one) {
+        return !view.notices.count(one.first) &&
+               !listed_incarnations.count(one.first);
+    });
+}
+
+} // namespace rosemarydeck
--- a/packages/router/engine_selector_base.cpp
+++ b/packages/router/engine_selector_base.cpp
@@ -127,6 +127,9 @@
         else if (request.shared >= options_.min_fetch_tokens)
             chosen.fetch_from = *home;
     }
+    const auto limit = limits_.find(pick->incarnation());
+    if (limit != limits_.end() && limit->second.pace)
+        limit->second.pace->use(now);
     auto& counted = records_[pick->id];
     ++counted.open;
     counted.data_centre = pick->data_centre;
@@ -201,12 +204,21 @@
            found->second.started_at_ms == engine.started_at_ms;
 }
 
+time_point engine_selector::available_from(const engine_info& engine,
+                                           time_point now) const
+{
+    const auto* known = find(engine.id);
+    const auto rest_until = known == nullptr ? now : known->rest_until;
+    const auto* limit = find_limit(engine);
+    if (limit == nullptr || !limit->pace)
+        return rest_until;
+    return std::max(rest_until, limit->pace->next(now));
+}
+
 bool engine_selector::takes_requests(const engine_info& engine,
                                      time_point now) const
 {
-    const auto* known = find(engine.id);
-    return !is_leaving(engine) &&
-           (known == nullptr || known->rest_until <= now);
+    return !is_leaving(engine) && available_from(engine, now) <= now;
 }
 
 void engine_selector::record_leaving(const engine_info& engine, time_point now)
@@ -228,28 +240,12 @@
     for (const auto& engine : engines) {
         if (is_leaving(engine))
             continue;
-        const auto* known = find(engine.id);
-        if (known == nullptr || known->rest_until <= now)
+        const auto available = available_from(engine, now);
+        if (available <= now)
             return std::nullopt;
-        earliest =
-            std::min(earliest.value_or(known->rest_until), known->rest_until);
+        earliest = std::min(earliest.value_or(available), available);
     }
     return earliest;
 }
 
-void engine_selector::drop_unlisted(const fleet_view& view, time_point now)
-{
-    std::erase_if(departures_, [&](const auto& one) {
-        return now - one.second.recorded > options_.departure_ttl;
-    });
-    std::set<server_id> listed;
-    for (const auto& [service, engines] : view.engines)
-        for (const auto& engine : engines)
-            listed.insert(engine.id);
-    std::erase_if(records_, [&](const auto& one) {
-        return one.second.open == 0 && one.second.rest_until <= now &&
-               !listed.count(one.first);
-    });
-}
-
 } // namespace rosemarydeck
--- a/packages/router/engine_selector_base.hpp
+++ b/packages/router/engine_selector_base.hpp
@@ -3,6 +3,7 @@
 
 #include "common/time_type.hpp"
 #include "router/fleet_type.hpp"
+#include "router/request_pace_base.hpp"
 
 #include <set>
 #include <span>
@@ -37,6 +38,10 @@
     /** Time for which an unreachable data centre is avoided after the latest
      *  failed connection. Then requests try it again. */
     duration data_centre_cooldown = milliseconds(1'000);
+    /** Number of VMs by which limits are divided until it is known. */
+    std::uint32_t unknown_fleet_vms = 1'000;
+    /** Relative change from which on a limit counts as a new one. */
+    double min_limit_change = 0.1;
     /** Time for which an engine's departure is remembered. Far longer than any
      *  engine takes to leave. */
     duration departure_ttl = milliseconds(600'000);
@@ -107,12 +112,22 @@
     void record_leaving(const engine_info& engine, time_point now);
     /** Records that an engine wants no requests before @p until. */
     void record_rest(const server_id& engine, time_point until);
-    /** Drops the records of engines that the view doesn't list and that have
-     *  no open requests, and old records of leaving engines. */
-    void drop_unlisted(const fleet_view& view, time_point now);
-
-    /** @return When the first of the engines ends its rest; none if one of them
-     *  takes requests now or if all are leaving. */
+    /**
+     * Records the limit in an engine's answer, or that it has none.
+     * @param sent When the request was sent.
+     * @return The notice that the other VMs should know, if it is a new one.
+     */
+    std::optional<engine_notice> record_limit(const engine_info& engine,
+                                              std::optional<double> limit_per_s,
+                                              time_point sent, time_point now);
+    /** Takes over the limits and the number of VMs of a view. Drops the records
+     *  of engines that it doesn't list and that have no open requests, and old
+     *  records of leaving engines. */
+    void apply_view(const fleet_view& view, time_point now);
+
+    /** @return When the first of the engines takes requests that rest or that
+     *  limit them; none if one of them takes requests now or if all are
+     *  leaving. */
     [[nodiscard]] std::optional<time_point>
     rest_end(std::span<const engine_info> engines, time_point now) const;
 
@@ -155,7 +170,25 @@
     [[nodiscard]] token_count
     weighted_tokens(const placement_request& request) const;
     [[nodiscard]] bool is_leaving(const engine_info& engine) const;
-    /** @return True if the engine neither leaves nor rests. */
+    /** Notice of an engine and this VM's share of its limit. */
+    struct request_limit
+    {
+        engine_notice notice;
+        time_point learned{};
+        std::optional<request_pace> pace; ///< Set if there is a limit.
+    };
+
+    void update_limit(const server_id& incarnation, const engine_notice& notice,
+                      time_point now);
+    /** Divides a limit anew if it or the number of VMs has changed. */
+    void update_pace(request_limit& limit, time_point now) const;
+    [[nodiscard]] const request_limit*
+    find_limit(const engine_info& engine) const;
+    /** @return When the engine takes requests; now or earlier if it does. */
+    [[nodiscard]] time_point available_from(const engine_info& engine,
+                                            time_point now) const;
+    /** @return True if the engine neither leaves nor rests, and its limit
+     * allows this VM a request. */
     [[nodiscard]] bool takes_requests(const engine_info& engine,
                                       time_point now) const;
     /** @return Untried engines without a back-off in a reachable data centre,
@@ -174,6 +207,9 @@
     std::map<server_id, record> records_;
     std::map<server_id, departure> departures_;
     std::map<dc_id, connectivity> connectivity_;
+    std::map<server_id, request_limit> limits_; ///< By incarnation.
+    std::uint32_t live_vms_ = 0;                ///< 0 if unknown.
+    std::uint32_t vm_rank_ = 0;
     std::uint64_t placement_count_ = 0; ///< Salt for engines of equal load.
 };
 
--- a/packages/router/fleet_presence_base.cpp
+++ b/packages/router/fleet_presence_base.cpp
@@ -48,6 +48,14 @@
     return result;
 }
 
+std::uint32_t fleet_presence::rank(time_point now) const
+{
+    std::uint32_t before = 0;
+    for (const auto& [vm, entry] : live(now))
+        before += vm < options_.self ? 1 : 0;
+    return before;
+}
+
 bool fleet_presence::may_leave_rotation(const dc_id& own, time_point now) const
 {
     std::size_t vms = 1;
--- a/packages/router/fleet_presence_base.hpp
+++ b/packages/router/fleet_presence_base.hpp
@@ -55,6 +55,9 @@
     /** @return Number of VMs that may be running, this one included; 0 before
      *  the first update. */
     [[nodiscard]] std::uint32_t live_vms(time_point now) const;
+    /** @return Position of this VM by name among those that may be running,
+     *  from 0. */
+    [[nodiscard]] std::uint32_t rank(time_point now) const;
     /** @return Entries of the VMs that may be running, that of this VM included
      *  as soon as it has been read. */
     [[nodiscard]] std::map<vm_id, vm_presence> live(time_point now) const;
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -191,6 +191,19 @@
     }
 };
 
+/** What one incarnation of an engine last said of itself. */
+struct engine_notice
+{
+    /** One more than that of the notice that was known when the engine said
+     *  it. */
+    std::uint64_t version = 0;
+    /** Requests a second that it takes from all VMs together; none if it sets
+     *  no limit any more. */
+    std::optional<double> limit_per_s;
+
+    bool operator==(const engine_notice&) const = default;
+};
+
 /** Snapshot of the configuration and the fleet for the traffic threads.
  *  Immutable. */
 struct fleet_view
@@ -199,6 +212,10 @@
     std::map<service_id, std::vector<engine_info>> engines; ///< Sorted by id.
     /** Number of running VMs, this one included; 0 if unknown. */
     std::uint32_t live_vms = 0;
+    /** Position of this VM among them by name, from 0. */
+    std::uint32_t vm_rank = 0;
+    /** Latest notices, by incarnation of the engine. */
+    std::map<server_id, engine_notice> notices;
     /** Requests with all traits of a combination crash engines and are refused.
      */
     std::vector<trait_combination> blocked;
--- a/packages/router/router_json_func.cpp
+++ b/packages/router/router_json_func.cpp
@@ -1,7 +1,7 @@
 /** @file router_json_func.cpp JSON forms of the entries that VMs publish. */
 #include "common/json_func.hpp"
-#include "router/crash_record_base.hpp"
 #include "router/fleet_presence_base.hpp"
+#include "router/vm_report_type.hpp"
 
 namespace rosemarydeck
 {
@@ -10,6 +10,22 @@
 ROSEMARYDECK_JSON_WITH_DEFAULT(vm_presence, run, beat, data_centre, address,
                                port, cores, out_of_rotation)
 
+void to_json(nlohmann::json& json, const engine_notice& value)
+{
+    json = {{"version", value.version}};
+    if (value.limit_per_s)
+        json["limit_per_s"] = *value.limit_per_s;
+}
+
+void from_json(const nlohmann::json& json, engine_notice& value)
+{
+    value = {};
+    json.at("version").get_to(value.version);
+    const auto limit = json.find("limit_per_s");
+    if (limit != json.end())
+        value.limit_per_s = limit->get<double>();
+}
+
 void to_json(nlohmann::json& json, const vm_crashes& value)
 {
     json = {{"crashes", nlohmann::json::object()},
@@ -32,4 +48,21 @@
         engines.get_to(value.cleared[request_trait(trait)]);
 }
 
+void to_json(nlohmann::json& json, const vm_report& value)
+{
+    json = value.crashes;
+    for (const auto& [engine, notice] : value.notices)
+        json["engines"][engine.value()] = notice;
+}
+
+void from_json(const nlohmann::json& json, vm_report& value)
+{
+    value = {json.get<vm_crashes>(), {}};
+    const auto engines = json.find("engines");
+    if (engines == json.end())
+        return;
+    for (const auto& [engine, notice] : engines->items())
+        value.notices[server_id(engine)] = notice.get<engine_notice>();
+}
+
 } // namespace rosemarydeck
--- a/packages/router/test/placement_test.cpp
+++ b/packages/router/test/placement_test.cpp
@@ -126,7 +126,7 @@
     CHECK_FALSE(chooser.place(prompt("a"), all, {all[1].id}, at(1s)));
     CHECK_FALSE(chooser.place(prompt("a"), engines(1), {}, at(500s)));
     // The list of engines may drop it for a while and name it again.
-    chooser.drop_unlisted({}, at(2s));
+    chooser.apply_view({}, at(2s));
     CHECK_FALSE(chooser.place(prompt("a"), engines(1), {}, at(3s)));
 }
 
--- a/tests/daemons/gateway_budget_test.py
+++ b/tests/daemons/gateway_budget_test.py
@@ -163,7 +163,7 @@
                          "the request to be blocked")
         self.store.put("rosemarydeck-crashes", "vm-c", ["unreadable"])
         fleet.wait_until(
-            lambda: self.log_match("event=crashes_unreadable"), 20,
+            lambda: self.log_match("event=report_unreadable"), 20,
             "the unreadable entry to be logged")
         reply = Client(self.port).request("POST", "/look/1", "boom")
         self.assertEqual(reply.status, 503)
