Keep counting the other VMs while their entries can't be read

Cause: after 25 s without the store each VM counted only itself, and took the whole fleet's extra retries, and now the whole limit of an engine, for itself. Change: time in which the entries can't be read doesn't count towards the liveness and removal times, beyond two polls.

--- a/packages/router/fleet_presence_base.cpp
+++ b/packages/router/fleet_presence_base.cpp
@@ -17,6 +17,10 @@
     std::erase_if(entries_, [&](const auto& one) {
         return entries.count(one.first) == 0;
     });
+    // Entries seem older than they are by the time in which none was read.
+    const auto unread = now - observed_until(now);
+    for (auto& [vm, observed] : entries_)
+        observed.changed += updated_ ? unread : duration{};
     for (const auto& [vm, entry] : entries) {
         const auto known = entries_.try_emplace(vm, observed_entry{entry, now});
         auto& observed = known.first->second;
@@ -24,6 +28,7 @@
             observed = {entry, now};
     }
     updated_ = true;
+    last_update_ = now;
 }
 
 std::uint32_t fleet_presence::live_vms(time_point now) const
@@ -33,7 +38,8 @@
     const auto others =
         std::count_if(entries_.begin(), entries_.end(), [&](const auto& one) {
             return one.first != options_.self &&
-                   now - one.second.changed <= options_.liveness_timeout;
+                   observed_until(now) - one.second.changed <=
+                       options_.liveness_timeout;
         });
     return static_cast<std::uint32_t>(others) + 1;
 }
@@ -43,7 +49,7 @@
     std::map<vm_id, vm_presence> result;
     for (const auto& [vm, observed] : entries_)
         if (vm == options_.self ||
-            now - observed.changed <= options_.liveness_timeout)
+            observed_until(now) - observed.changed <= options_.liveness_timeout)
             result[vm] = observed.entry;
     return result;
 }
@@ -74,7 +80,7 @@
     std::vector<vm_id> result;
     for (const auto& [vm, observed] : entries_)
         if (vm != options_.self &&
-            now - observed.changed > options_.removal_timeout)
+            observed_until(now) - observed.changed > options_.removal_timeout)
             result.push_back(vm);
     return result;
 }
--- a/packages/router/fleet_presence_base.hpp
+++ b/packages/router/fleet_presence_base.hpp
@@ -5,6 +5,7 @@
 #include "common/time_type.hpp"
 #include "router/fleet_type.hpp"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -37,12 +38,16 @@
     duration liveness_timeout = milliseconds(25'000);
     /** Time without a change after which an entry may be removed. */
     duration removal_timeout = milliseconds(120'000);
+    /** Longest time between two reads of the entries that counts towards these
+     *  times. While the store can't be read, nobody can write there either. */
+    duration max_read_gap = milliseconds(8'000);
 };
 
 /**
  * Tells which VMs may be running, by whether their entries still change. The
  * VM of a new entry counts as running until the entry has stayed unchanged for
- * the liveness timeout.
+ * the liveness timeout. Time in which the entries can't be read doesn't count:
+ * what is divided among the VMs must not grow in an outage of the store.
  */
 class fleet_presence
 {
@@ -73,6 +78,12 @@
     [[nodiscard]] std::vector<vm_id> removable(time_point now) const;
 
 private:
+    /** @return The time up to which the entries are known to be unchanged. */
+    [[nodiscard]] time_point observed_until(time_point now) const
+    {
+        return std::min(now, last_update_ + options_.max_read_gap);
+    }
+
     struct observed_entry
     {
         vm_presence entry;
@@ -82,6 +93,7 @@
     presence_options options_;
     std::map<vm_id, observed_entry> entries_;
     bool updated_ = false; ///< Entries have been read at least once.
+    time_point last_update_{};
 };
 
 } // namespace rosemarydeck
