Tell all VMs when an engine says that it leaves

Change: a departure is part of the notice that VMs exchange; it is kept by incarnation and never taken back. Tests: test_departure_that_another_vm_was_told_is_known failed before (2 requests at the engine, 1 expected); two unit tests of notices.

--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -250,7 +250,11 @@
 {
     const auto now = context_.clock.now();
     if (head.leaving) {
-        context_.selector.record_leaving(chosen.engine, now);
+        const auto notice =
+            context_.selector.record_leaving(chosen.engine, now);
+        if (notice)
+            context_.control.report_notice(chosen.engine.incarnation(),
+                                           *notice);
         context_.connection_pool.close_idle(chosen.engine.id);
         context_.log.write("engine_leaving",
                            {{"req", request_head_.id},
--- a/packages/router/engine_notice_base.hpp
+++ b/packages/router/engine_notice_base.hpp
@@ -14,10 +14,13 @@
 
 ROSEMARYDECK_JSON_DECLARE(engine_notice);
 
-/** @return True if a notice replaces another one: it was made with knowledge of
- *  the other, or independently and is the stricter of the two. */
+/** @return True if a notice's limit replaces that of another one: it was named
+ *  later, or independently and is the stricter of the two. */
 bool supersedes(const engine_notice& notice, const engine_notice& other);
 
+/** @return What holds after both notices. */
+engine_notice merged(const engine_notice& left, const engine_notice& right);
+
 /**
  * The latest notice of each engine, of all VMs. The VM that an engine told
  * publishes the notice. Other VMs take it over when that VM's entry no longer
@@ -43,6 +46,8 @@
 
 private:
     void merge(const server_id& engine, const engine_notice& notice);
+    /** @return True if some VM publishes the latest notice. */
+    [[nodiscard]] bool is_published(const server_id& engine) const;
 
     engine_notices own_;
     engine_notices latest_;
--- a/packages/router/engine_selector_base.cpp
+++ b/packages/router/engine_selector_base.cpp
@@ -199,9 +199,7 @@
 
 bool engine_selector::is_leaving(const engine_info& engine) const
 {
-    const auto found = departures_.find(engine.id);
-    return found != departures_.end() &&
-           found->second.started_at_ms == engine.started_at_ms;
+    return !departures_.empty() && departures_.count(engine.incarnation()) > 0;
 }
 
 time_point engine_selector::available_from(const engine_info& engine,
@@ -221,9 +219,14 @@
     return !is_leaving(engine) && available_from(engine, now) <= now;
 }
 
-void engine_selector::record_leaving(const engine_info& engine, time_point now)
+std::optional<engine_notice>
+engine_selector::record_leaving(const engine_info& engine, time_point now)
 {
-    departures_[engine.id] = {engine.started_at_ms, now};
+    const bool known = is_leaving(engine);
+    departures_[engine.incarnation()] = now;
+    if (known)
+        return std::nullopt;
+    return engine_notice{.leaving = true};
 }
 
 void engine_selector::record_rest(const server_id& engine, time_point until)
--- a/packages/router/engine_selector_base.hpp
+++ b/packages/router/engine_selector_base.hpp
@@ -108,8 +108,11 @@
     void release(const server_id& engine, const placement_request& request,
                  send_outcome outcome, time_point now);
     /** Records that an engine said that it is about to stop. It gets no more
-     *  requests, whatever the list of engines says of this incarnation. */
-    void record_leaving(const engine_info& engine, time_point now);
+     *  requests, whatever the list of engines says of this incarnation.
+     *  @return The notice that the other VMs should know, if it is a new one.
+     */
+    std::optional<engine_notice> record_leaving(const engine_info& engine,
+                                                time_point now);
     /** Records that an engine wants no requests before @p until. */
     void record_rest(const server_id& engine, time_point until);
     /**
@@ -145,13 +148,6 @@
         dc_id data_centre;
     };
 
-    /** An engine that said that it is about to stop. */
-    struct departure
-    {
-        std::int64_t started_at_ms = 0; ///< Start of the incarnation.
-        time_point recorded{};
-    };
-
     /** Failed connections to the engines of one data centre. */
     struct connectivity
     {
@@ -178,8 +174,8 @@
         std::optional<request_pace> pace; ///< Set if there is a limit.
     };
 
-    void update_limit(const server_id& incarnation, const engine_notice& notice,
-                      time_point now);
+    void update_notice(const server_id& incarnation,
+                       const engine_notice& notice, time_point now);
     /** Divides a limit anew if it or the number of VMs has changed. */
     void update_pace(request_limit& limit, time_point now) const;
     [[nodiscard]] const request_limit*
@@ -205,7 +201,8 @@
 
     placement_options options_;
     std::map<server_id, record> records_;
-    std::map<server_id, departure> departures_;
+    /** When incarnations said that they are about to stop. */
+    std::map<server_id, time_point> departures_;
     std::map<dc_id, connectivity> connectivity_;
     std::map<server_id, request_limit> limits_; ///< By incarnation.
     std::uint32_t live_vms_ = 0;                ///< 0 if unknown.
--- a/packages/router/engine_limit.cpp
+++ b/packages/router/engine_selector_notice.cpp
@@ -1,5 +1,5 @@
-/** @file engine_limit.cpp Limits that engines set on the requests of all VMs.
- */
+/** @file engine_selector_notice.cpp What engines say of themselves, in their
+ *  choice. */
 #include "router/engine_notice_base.hpp"
 #include "router/engine_selector_base.hpp"
 
@@ -18,8 +18,8 @@
         known == nullptr ? std::nullopt : known->notice.limit_per_s;
     if (!limit_per_s && !known_limit)
         return std::nullopt;
-    // The answer to a request that was sent before this VM knew of the limit
-    // may be older than the limit.
+    // The answer to a request that was sent before this VM knew of the
+    // limit may be older than the limit.
     if (!limit_per_s && known->learned > sent)
         return std::nullopt;
     if (limit_per_s && known_limit &&
@@ -28,13 +28,15 @@
         return std::nullopt;
     const engine_notice notice{known == nullptr ? 1 : known->notice.version + 1,
                                limit_per_s};
-    update_limit(engine.incarnation(), notice, now);
+    update_notice(engine.incarnation(), notice, now);
     return notice;
 }
 
-void engine_selector::update_limit(const server_id& incarnation,
-                                   const engine_notice& notice, time_point now)
+void engine_selector::update_notice(const server_id& incarnation,
+                                    const engine_notice& notice, time_point now)
 {
+    if (notice.leaving)
+        departures_[incarnation] = now;
     const auto [known, added] =
         limits_.try_emplace(incarnation, request_limit{notice, now, {}});
     if (!added) {
@@ -74,11 +76,11 @@
         vm_rank_ = view.vm_rank;
     }
     for (const auto& [incarnation, notice] : view.notices)
-        update_limit(incarnation, notice, now);
+        update_notice(incarnation, notice, now);
     for (auto& [incarnation, limit] : limits_)
         update_pace(limit, now);
     std::erase_if(departures_, [&](const auto& one) {
-        return now - one.second.recorded > options_.departure_ttl;
+        return now - one.second > options_.departure_ttl;
     });
     std::set<server_id> listed;
     std::set<server_id> listed_incarnations;
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -194,12 +194,13 @@
 /** What one incarnation of an engine last said of itself. */
 struct engine_notice
 {
-    /** One more than that of the notice that was known when the engine said
-     *  it. */
+    /** Version of the limit: one more than that of the notice that was known
+     *  when the engine named it. */
     std::uint64_t version = 0;
     /** Requests a second that it takes from all VMs together; none if it sets
      *  no limit any more. */
     std::optional<double> limit_per_s;
+    bool leaving = false; ///< It is about to stop; never taken back.
 
     bool operator==(const engine_notice&) const = default;
 };
--- a/packages/router/router_json_func.cpp
+++ b/packages/router/router_json_func.cpp
@@ -15,6 +15,8 @@
     json = {{"version", value.version}};
     if (value.limit_per_s)
         json["limit_per_s"] = *value.limit_per_s;
+    if (value.leaving)
+        json["leaving"] = true;
 }
 
 void from_json(const nlohmann::json& json, engine_notice& value)
@@ -24,6 +26,7 @@
     const auto limit = json.find("limit_per_s");
     if (limit != json.end())
         value.limit_per_s = limit->get<double>();
+    value.leaving = json.value("leaving", false);
 }
 
 void to_json(nlohmann::json& json, const vm_crashes& value)
--- a/packages/router/test/request_limit_test.cpp
+++ b/packages/router/test/request_limit_test.cpp
@@ -230,6 +230,35 @@
     CHECK_FALSE(supersedes(notice(1, 1.0), notice(1, 1.0)));
 }
 
+TEST_CASE("A departure is kept beside a limit that was named independently",
+          "[limit]")
+{
+    const server_id engine("e1");
+    notice_board board;
+    CHECK(board.record_own(engine, notice(1, 2.0)));
+    const engine_notice leaving{.leaving = true};
+    CHECK_FALSE(board.replace_peer(vm_id("b"), {{engine, leaving}}));
+    const engine_notice both{1, 2.0, true};
+    CHECK(board.latest().at(engine) == both);
+    CHECK_FALSE(board.record_own(engine, leaving));
+    CHECK(board.record_own(engine, notice(2, {})));
+    CHECK(board.own().at(engine) == engine_notice{2, {}, true});
+    CHECK(nlohmann::json(both).get<engine_notice>() == both);
+}
+
+TEST_CASE("An engine that told another VM that it leaves gets no requests",
+          "[limit]")
+{
+    engine_selector selector;
+    const auto all = engines(2);
+    selector.apply_view(view_of(all, 2, {{all[0].id, {.leaving = true}}}),
+                        at(0s));
+    CHECK(placed(selector, all, at(0s))["e0"] == 0);
+    CHECK_FALSE(selector.record_leaving(all[0], at(1s)));
+    CHECK(selector.record_leaving(all[1], at(1s)) ==
+          engine_notice{.leaving = true});
+}
+
 TEST_CASE("Notices of engines that are gone are dropped", "[limit]")
 {
     notice_board board;
--- a/tests/daemons/gateway_engine_test.py
+++ b/tests/daemons/gateway_engine_test.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from gateway_harness import Client, GatewayTestCase, config
+from gateway_harness import Client, GatewayTestCase, config, free_port
 
 
 class GatewayEngineTest(GatewayTestCase):
@@ -22,6 +22,24 @@
         self.assertEqual(bodies.count(b"b"), len(other.requests))
         self.assertIn(len(other.requests), (11, 12))
 
+    def test_departure_that_another_vm_was_told_is_known(self):
+        """The list still names the engine as ready.
+
+        A VM that restarts must know of it as well.
+        """
+        self.writes_per_s, self.peer_port = 1200, free_port()
+        leaving, _ = self.start_with_engines(
+            lambda request: request.answer("a", Server_Leaving="1"),
+            lambda request: request.answer("b"), service="plain")
+        client = Client(self.port)
+        while not leaving.requests:
+            client.request("GET", "/look/1").read()
+        time.sleep(1)  # The report is written with a pause.
+        with self.second_vm("vm-b") as vms:
+            for _ in range(8):
+                Client(vms[1]["port"]).request("GET", "/look/1").read()
+        self.assertEqual(len(leaving.requests), 1)
+
     def test_engine_that_wants_rest_gets_no_requests_for_that_time(self):
         def want_rest(request):
             request.answer("", status=503, seal=None, Not_Executed="1",
