Try a blocked request now and then, so that a wrong block ends

Cause: while all requests with a blocked trait are refused none can be served, so a block of sound requests that keep coming would never end. Change: the first VM by name sends one blocked request 10 minutes after the block began, and again after four times as long each; if it is served the block ends for all VMs. A trial is sent to one engine only. The view is also read again after a wait for budget. The process has no test of a trial, since the first one comes after 10 minutes.

--- a/packages/gateway/control_report.cpp
+++ b/packages/gateway/control_report.cpp
@@ -53,6 +53,13 @@
     crashes_.record_refused(traits, clock_.now());
 }
 
+void control_service::report_trial(const trait_combination& combination)
+{
+    log_.write("block_tried", {{"request", join(combination)}});
+    crashes_.record_trial(combination, clock_.now());
+    update_blocked();
+}
+
 void control_service::report_notice(const server_id& engine,
                                     const engine_notice& notice)
 {
@@ -149,10 +156,17 @@
 {
     crashes_.update(clock_.now());
     auto suspected = crashes_.suspected();
-    if (crashes_.blocked() == blocked_ && suspected == suspected_)
+    // One VM of the fleet tries blocked requests.
+    const auto now = clock_.now();
+    auto trials = presence_.live_vms(now) > 0 && presence_.rank(now) == 0
+                      ? crashes_.due_trials(now)
+                      : std::vector<trait_combination>{};
+    if (crashes_.blocked() == blocked_ && suspected == suspected_ &&
+        trials == trials_)
         return;
     log_blocked(crashes_.blocked());
     blocked_ = crashes_.blocked();
+    trials_ = std::move(trials);
     suspected_ = std::move(suspected);
     publish_view();
 }
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -319,6 +319,7 @@
     view->vm_rank = presence_.rank(clock_.now());
     view->notices = notices_.latest();
     view->blocked = blocked_;
+    view->trials = trials_;
     view->suspected = suspected_;
     options_.publish(std::move(view));
 }
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -45,6 +45,8 @@
                                time_point answer_began);
     /** Extends the block that refused a request. */
     void report_crashing_refused(const std::vector<request_trait>& traits);
+    /** Records that a blocked request was sent as a trial. */
+    void report_trial(const trait_combination& combination);
     /** Records what an incarnation of an engine said of itself. */
     void report_notice(const server_id& engine, const engine_notice& notice);
     /** Returns credit and unspent headroom; if the ledger has several shards,
@@ -145,6 +147,7 @@
     bool reports_loaded_ = false; ///< All VMs' entries were read once.
     std::set<request_trait> suspected_;
     std::vector<trait_combination> blocked_;
+    std::vector<trait_combination> trials_;
     bool closing_ = false;
     time_point started_ = clock_.now();
 };
--- a/packages/gateway/engine_connection_pool_base.hpp
+++ b/packages/gateway/engine_connection_pool_base.hpp
@@ -21,6 +21,9 @@
     /** Bytes that are read and not yet parsed. Only bytes that are no answer,
      *  such as an endless line, reach this. */
     static constexpr std::size_t max_buffered_bytes = 262'144;
+    /** Maximum idle time before reuse for engines that state no keep-alive
+     *  time-out. They close idle connections after 1 s. */
+    static constexpr duration default_max_idle_time = milliseconds(500);
 
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
@@ -28,8 +31,9 @@
     std::string outgoing; ///< Request being sent; must outlive the send.
     bool sending = false; ///< True until the request was sent without error.
     bool connecting = false;
-    bool fresh = true;        ///< True until it is first pooled.
-    duration max_idle_time{}; ///< How long the engine keeps it open idle.
+    bool fresh = true; ///< True until it is first pooled.
+    /** How long the engine keeps it open idle. */
+    duration max_idle_time = default_max_idle_time;
     time_point idle_since{};
 
     explicit engine_connection(boost::asio::io_context& io)
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -3,11 +3,8 @@
 
 #include "common/hash_func.hpp"
 #include "gateway/header_text_func.hpp"
-#include "router/request_trait_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
-#include <algorithm>
-
 namespace rosemarydeck
 {
 
@@ -99,7 +96,7 @@
     }
     if (!authenticate())
         return false;
-    if (is_blocked()) {
+    if (is_blocked() && !start_trial()) {
         context_.control.report_crashing_refused(traits());
         refuse(503, counter::refused_crashing, "crashes_engines",
                retry_after_blocked);
@@ -133,28 +130,6 @@
     return false;
 }
 
-const std::vector<request_trait>& exchange::traits()
-{
-    if (traits_.empty())
-        traits_ = traits_of(request_head_, request_.body());
-    return traits_;
-}
-
-bool exchange::is_blocked()
-{
-    return !view_->blocked.empty() &&
-           has_blocked_traits(traits(), view_->blocked);
-}
-
-bool exchange::is_suspected()
-{
-    return !view_->suspected.empty() &&
-           std::any_of(traits().begin(), traits().end(),
-                       [this](const auto& trait) {
-                           return view_->suspected.count(trait) > 0;
-                       });
-}
-
 service_id exchange::choose_service() const
 {
     std::uint64_t total = 0;
@@ -228,7 +203,9 @@
 
 void exchange::serve()
 {
-    while (!is_finished() && !is_blocked()) {
+    // The budget may have been waited for.
+    view_ = context_.view;
+    while (!is_finished() && (is_trial_ || !is_blocked())) {
         const auto engines = view_->engines.find(service_);
         if (engines == view_->engines.end() || !acquire_send())
             return;
@@ -245,7 +222,7 @@
 {
     if (send_count_ == 0)
         return true;
-    if (send_count_ >= route_->max_attempts)
+    if (is_trial_ || send_count_ >= route_->max_attempts)
         return false;
     if (context_.retries.try_acquire_retry(service_, view_->live_vms,
                                            context_.clock.now())) {
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -75,6 +75,9 @@
     bool wait_for_headroom();
     /** @return True if the request is on record as crashing engines. */
     bool is_blocked();
+    /** Makes a blocked request the one with which this VM tries the block.
+     *  @return False if no trial is due. */
+    bool start_trial();
     /** @return True if an engine went down that had a request with one of the
      *  request's traits. */
     bool is_suspected();
@@ -185,6 +188,7 @@
     engine_connection_ptr engine_connection_;
     server_id last_engine_; ///< Engine of the last send.
 
+    bool is_trial_ = false; ///< Sent although it is blocked.
     bool stream_started_ = false;
     /** Id of the last event that the client had before this request. */
     std::uint64_t initial_event_id_ = 0;
--- /dev/null
+++ b/packages/gateway/exchange_engine_state.cpp
@@ -0,0 +1,157 @@
+/** @file exchange_engine_state.cpp What requests and answers tell of engines.
+ */
+#include "gateway/exchange_base.hpp"
+
+#include "router/request_trait_func.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+/** Connect time-out of the probe that tells a crashed engine from a lost
+ *  connection. Covers a few round trips. */
+constexpr auto crash_probe_timeout = milliseconds(100);
+/** A request that crashes engines does so when its answer begins. A stream that
+ *  lasted longer is not the cause. */
+constexpr auto max_time_to_crash = milliseconds(1'000);
+
+} // namespace
+
+const std::vector<request_trait>& exchange::traits()
+{
+    if (traits_.empty())
+        traits_ = traits_of(request_head_, request_.body());
+    return traits_;
+}
+
+bool exchange::is_blocked()
+{
+    return !view_->blocked.empty() &&
+           find_combination(traits(), view_->blocked) != nullptr;
+}
+
+bool exchange::start_trial()
+{
+    const auto* combination = find_combination(traits(), view_->trials);
+    if (combination == nullptr ||
+        !context_.used_trials.insert(*combination).second)
+        return false;
+    is_trial_ = true;
+    context_.control.report_trial(*combination);
+    return true;
+}
+
+bool exchange::is_suspected()
+{
+    return !view_->suspected.empty() &&
+           std::any_of(traits().begin(), traits().end(),
+                       [this](const auto& trait) {
+                           return view_->suspected.count(trait) > 0;
+                       });
+}
+
+void exchange::log_failed_send(const placement& chosen,
+                               const send_result& result) const
+{
+    context_.log.write("send_failed",
+                       {{"req", request_head_.id},
+                        {"engine", chosen.engine.id.value()},
+                        {"address", chosen.engine.endpoint()},
+                        {"outcome", name_of(result.outcome)},
+                        {"engine_status", result.failure_status},
+                        {"client_gone", client_.closed() ? 1 : 0},
+                        {"timed_out", timed_out_ ? 1 : 0},
+                        {"events", last_event_id_ - initial_event_id_},
+                        {"ms", elapsed()}});
+}
+
+void exchange::report_if_crashed(const placement& chosen)
+{
+    const auto broken_at = context_.clock.now();
+    // An engine that still accepts connections has not crashed.
+    auto probe = context_.connection_pool.make();
+    const auto opened = context_.connection_pool.connect(chosen.engine, probe,
+                                                         crash_probe_timeout);
+    if (opened) {
+        context_.connection_pool.keep(std::move(probe), context_.clock.now());
+        return;
+    }
+    log_engine_down(chosen, opened.error(), broken_at);
+    if (!outlasted_start(broken_at))
+        context_.control.report_crash(
+            {traits(), chosen.engine.incarnation(), sent_at_});
+}
+
+bool exchange::outlasted_start(time_point now) const
+{
+    return answer_began_at_ && route_->repeat == repeat_rule::stream &&
+           now - *answer_began_at_ > max_time_to_crash;
+}
+
+void exchange::log_engine_down(const placement& chosen, const error& probe,
+                               time_point broken_at)
+{
+    std::string parts;
+    for (const auto& part : request_head_.prompt)
+        parts += (parts.empty() ? "" : ",") + part.id;
+    context_.log.write(
+        "engine_down",
+        {{"req", request_head_.id},
+         {"request", traits().front().value()},
+         {"parts", parts},
+         {"engine", chosen.engine.id.value()},
+         {"probe", probe.text},
+         {"sent_before_ms", broken_at - sent_at_},
+         {"answered_before_ms",
+          answer_began_at_ ? broken_at - *answer_began_at_ : duration(-1)}});
+}
+
+void exchange::record_engine_state(const placement& chosen,
+                                   const answer_head& head)
+{
+    const auto now = context_.clock.now();
+    if (head.leaving) {
+        const auto notice =
+            context_.selector.record_leaving(chosen.engine, now);
+        if (notice)
+            context_.control.report_notice(chosen.engine.incarnation(),
+                                           *notice);
+        context_.connection_pool.close_idle(chosen.engine.id);
+        context_.log.write("engine_leaving",
+                           {{"req", request_head_.id},
+                            {"engine", chosen.engine.id.value()},
+                            {"born", chosen.engine.started_at_ms}});
+    }
+    record_engine_limit(chosen, head);
+    if (head.rest_time) {
+        context_.selector.record_rest(chosen.engine.id, now + *head.rest_time);
+        context_.log.write("engine_rests",
+                           {{"req", request_head_.id},
+                            {"engine", chosen.engine.id.value()},
+                            {"for_ms", duration(*head.rest_time)}});
+    }
+}
+
+void exchange::record_engine_limit(const placement& chosen,
+                                   const answer_head& head)
+{
+    // An answer that the engine did not make itself says nothing of a limit.
+    if (!head.request_limit && !(head.sealed && head.status < 300))
+        return;
+    const auto notice = context_.selector.record_limit(
+        chosen.engine, head.request_limit, sent_at_, context_.clock.now());
+    if (!notice)
+        return;
+    context_.log.write("engine_limit",
+                       {{"req", request_head_.id},
+                        {"engine", chosen.engine.incarnation().value()},
+                        {"per_s", notice->limit_per_s.value_or(-1)},
+                        {"vms", view_->live_vms}});
+    context_.control.report_notice(chosen.engine.incarnation(), *notice);
+}
+
+} // namespace rosemarydeck
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -107,6 +107,10 @@
                 control_->report_crashing_refused(traits);
             });
         };
+    callbacks.report_trial = [this](const trait_combination& combination) {
+        boost::asio::post(
+            io_, [this, combination] { control_->report_trial(combination); });
+    };
     callbacks.report_notice = [this](const server_id& engine,
                                      const engine_notice& notice) {
         boost::asio::post(io_, [this, engine, notice] {
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -32,6 +32,8 @@
     /** Reports that a request was refused because it crashes engines. */
     std::function<void(const std::vector<request_trait>&)>
         report_crashing_refused;
+    /** Reports that a blocked request was sent as a trial. */
+    std::function<void(const trait_combination&)> report_trial;
     /** Reports what an incarnation of an engine said of itself. */
     std::function<void(const server_id&, const engine_notice&)> report_notice;
 };
@@ -54,6 +56,8 @@
     engine_selector selector{};
     retry_budget retries{settings.retries};
     engine_connection_pool connection_pool{io};
+    /** Trials that this VM has sent and its view doesn't know of yet. */
+    std::set<trait_combination> used_trials{};
     bool draining = false; ///< Answers close their connections.
     /** The load balancer sends no new clients. Answers close their connections,
      *  so that the clients move to other VMs. */
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -4,6 +4,7 @@
 #include "gateway/listener_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/fiber/all.hpp>
 
@@ -96,6 +97,10 @@
 {
     boost::asio::post(io_, [this, view = std::move(view)] {
         context_.view = view;
+        std::erase_if(context_.used_trials, [&](const auto& used) {
+            return std::find(view->trials.begin(), view->trials.end(), used) ==
+                   view->trials.end();
+        });
         context_.selector.apply_view(*view, context_.clock.now());
     });
 }
--- a/packages/router/crash_record_base.cpp
+++ b/packages/router/crash_record_base.cpp
@@ -103,12 +103,37 @@
                                   time_point now)
 {
     for (const auto& trait : traits) {
-        const auto held = held_until_.find(trait);
-        if (held != held_until_.end())
-            held->second = now + options_.block_ttl;
+        const auto held = holds_.find(trait);
+        if (held != holds_.end())
+            held->second.until = now + options_.block_ttl;
     }
 }
 
+void crash_record::record_trial(const trait_combination& combination,
+                                time_point now)
+{
+    for (const auto& trait : combination) {
+        const auto held = holds_.find(trait);
+        if (held == holds_.end())
+            continue;
+        held->second.trial_interval *= 4;
+        held->second.next_trial = now + held->second.trial_interval;
+    }
+}
+
+std::vector<trait_combination> crash_record::due_trials(time_point now) const
+{
+    auto due = blocked_;
+    std::erase_if(due, [&](const auto& combination) {
+        return !std::all_of(
+            combination.begin(), combination.end(), [&](const auto& trait) {
+                const auto held = holds_.find(trait);
+                return held != holds_.end() && held->second.next_trial <= now;
+            });
+    });
+    return due;
+}
+
 bool crash_record::replace_peer_crashes(const vm_id& vm, vm_crashes published,
                                         time_point now)
 {
@@ -155,8 +180,8 @@
 
 bool crash_record::is_held(const request_trait& trait, time_point now) const
 {
-    const auto held = held_until_.find(trait);
-    return held != held_until_.end() && now < held->second;
+    const auto held = holds_.find(trait);
+    return held != holds_.end() && now < held->second.until;
 }
 
 bool crash_record::is_cleared(const request_trait& trait,
@@ -228,7 +253,9 @@
             if (same_engines(one.engines, explained))
                 combination.insert(one.trait);
         for (const auto& trait : combination)
-            held_until_.try_emplace(trait, now + options_.block_ttl);
+            holds_.try_emplace(trait, hold{now + options_.block_ttl,
+                                           now + options_.first_trial_after,
+                                           options_.first_trial_after});
         blocked_.push_back(std::move(combination));
         for (auto& one : left)
             std::erase_if(one.engines, [&](const auto& engine) {
@@ -259,8 +286,8 @@
 
 void crash_record::expire(time_point now)
 {
-    std::erase_if(held_until_,
-                  [&](const auto& one) { return one.second <= now; });
+    std::erase_if(holds_,
+                  [&](const auto& one) { return one.second.until <= now; });
     // The report of a VM that has ended may never be withdrawn.
     for (auto& [vm, report] : reports_)
         if (report.received + options_.crash_ttl <= now)
--- a/packages/router/crash_record_base.hpp
+++ b/packages/router/crash_record_base.hpp
@@ -18,6 +18,9 @@
     duration crash_ttl = milliseconds(60'000);
     /** How long a block holds after the last request that it refused. */
     duration block_ttl = milliseconds(3'600'000);
+    /** Time from a block to the first trial of it; each further trial comes
+     *  after four times as long. */
+    duration first_trial_after = milliseconds(600'000);
     /** A trait is not blocked while this VM served a request with it that
      *  began within this time. Shorter than the time in which the fleet must
      *  learn of a crash. */
@@ -80,6 +83,8 @@
     /** Extends the blocks that refused a request. */
     void record_refused(const std::vector<request_trait>& traits,
                         time_point now);
+    /** Records that a request was sent although it is blocked. */
+    void record_trial(const trait_combination& combination, time_point now);
     /** Replaces what another VM published; nothing if its entry is gone.
      *  Crashes behind a block that it no longer lists are kept as this VM's
      *  own, so that the block outlasts that VM.
@@ -101,6 +106,11 @@
     {
         return blocked_;
     }
+    /** @return Blocks that should be tried with one request, so that a block of
+     *  sound requests ends: nothing else clears it once all are refused. One VM
+     *  of the fleet may do so. */
+    [[nodiscard]] std::vector<trait_combination>
+    due_trials(time_point now) const;
     /** @return Traits with crashes that nobody has cleared, as of the last
      *  update. */
     [[nodiscard]] std::set<request_trait> suspected() const;
@@ -139,6 +149,14 @@
         time_point changed{};
     };
 
+    /** State of a blocked trait. */
+    struct hold
+    {
+        time_point until{};
+        time_point next_trial{};
+        duration trial_interval{}; ///< Before the next trial.
+    };
+
     void learn(const request_trait& trait, const server_id& engine,
                time_point now);
     /** Records crashes as this VM's own. */
@@ -165,7 +183,7 @@
     std::set<request_trait> cleared_unpublished_;
     std::map<vm_id, peer_report> reports_;
     std::map<request_trait, trait_knowledge> knowledge_;
-    std::map<request_trait, time_point> held_until_; ///< Of blocked traits.
+    std::map<request_trait, hold> holds_; ///< Of blocked traits.
     std::vector<trait_combination> blocked_;
 
     // Of all VMs, as of the last update:
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -220,6 +220,8 @@
     /** Requests with all traits of a combination crash engines and are refused.
      */
     std::vector<trait_combination> blocked;
+    /** Of these, the ones of which this VM should send one request. */
+    std::vector<trait_combination> trials;
     /** Traits of requests that engines had when they went down. */
     std::set<request_trait> suspected;
 };
--- a/packages/router/request_trait_func.cpp
+++ b/packages/router/request_trait_func.cpp
@@ -51,16 +51,18 @@
     return traits;
 }
 
-bool has_blocked_traits(const std::vector<request_trait>& traits,
-                        const std::vector<trait_combination>& blocked)
+const trait_combination*
+find_combination(const std::vector<request_trait>& traits,
+                 const std::vector<trait_combination>& combinations)
 {
     const auto has = [&](const request_trait& trait) {
         return std::find(traits.begin(), traits.end(), trait) != traits.end();
     };
-    return std::any_of(
-        blocked.begin(), blocked.end(), [&](const auto& combination) {
-            return std::all_of(combination.begin(), combination.end(), has);
+    const auto found = std::find_if(
+        combinations.begin(), combinations.end(), [&](const auto& one) {
+            return std::all_of(one.begin(), one.end(), has);
         });
+    return found == combinations.end() ? nullptr : &*found;
 }
 
 } // namespace rosemarydeck
--- a/packages/router/request_trait_func.hpp
+++ b/packages/router/request_trait_func.hpp
@@ -26,8 +26,10 @@
 std::vector<request_trait> traits_of(const request_head& head,
                                      const std::string& body);
 
-/** @return True if the request has all traits of one of the combinations. */
-bool has_blocked_traits(const std::vector<request_trait>& traits,
-                        const std::vector<trait_combination>& blocked);
+/** @return The first combination of which the request has all traits, or
+ *  nullptr. */
+const trait_combination*
+find_combination(const std::vector<request_trait>& traits,
+                 const std::vector<trait_combination>& combinations);
 
 } // namespace rosemarydeck
--- a/packages/router/test/crash_fleet_test.cpp
+++ b/packages/router/test/crash_fleet_test.cpp
@@ -160,7 +160,7 @@
         auto& vm = vms_[request.vm];
         const bool late = fifth_crash_ && now_ > *fifth_crash_ + contact_time;
         const bool refused =
-            has_blocked_traits(request.traits, vm.record.blocked());
+            find_combination(request.traits, vm.record.blocked()) != nullptr;
         if (!bad && fifth_crash_ && now_ > *fifth_crash_ + 2 * contact_time) {
             ++sound_late;
             sound_late_refused += refused ? 1 : 0;
--- a/packages/router/test/crash_record_test.cpp
+++ b/packages/router/test/crash_record_test.cpp
@@ -78,11 +78,11 @@
     REQUIRE(traits.size() == 3);
     CHECK(traits[0] == fingerprint_of("", "", "", "body"));
     CHECK(traits[2] == trait_of_part({"bad", 99}));
-    CHECK(has_blocked_traits(traits, {{traits[2]}}));
-    CHECK(has_blocked_traits(traits, {{trait("x")}, {traits[1], traits[2]}}));
-    CHECK_FALSE(has_blocked_traits(traits, {{traits[1], trait("x")}}));
-    CHECK_FALSE(has_blocked_traits(traits, {}));
-    CHECK_FALSE(has_blocked_traits(traits, {{trait_of_part({"own", 30})}}));
+    CHECK(find_combination(traits, {{traits[2]}}));
+    CHECK(find_combination(traits, {{trait("x")}, {traits[1], traits[2]}}));
+    CHECK_FALSE(find_combination(traits, {{traits[1], trait("x")}}));
+    CHECK_FALSE(find_combination(traits, {}));
+    CHECK_FALSE(find_combination(traits, {{trait_of_part({"own", 30})}}));
 }
 
 TEST_CASE("An outage of many engines blocks none of the requests they had",
@@ -195,6 +195,24 @@
     CHECK(record.own() == vm_crashes{});
 }
 
+TEST_CASE("A block of sound requests ends with a trial", "[crash]")
+{
+    crash_record record;
+    const std::vector<trait_combination> sound{{trait("sound")}};
+    record.replace_peer_crashes(
+        vm_id("b"), reported("sound", {"e1", "e2", "e3"}, true), at(0ms));
+    CHECK(blocked(record, 0ms) == sound);
+    record.record_refused({trait("sound")}, at(9min));
+    CHECK(record.due_trials(at(9min)).empty());
+    CHECK(record.due_trials(at(10min)) == sound);
+    record.record_trial(sound[0], at(10min));
+    CHECK(record.due_trials(at(49min)).empty());
+    CHECK(record.due_trials(at(50min)) == sound);
+    CHECK(record.record_served({trait("sound")}, at(50min), at(51min)));
+    CHECK(blocked(record, 52min) == none);
+    CHECK(record.due_trials(at(200min)).empty());
+}
+
 TEST_CASE("A restarted VM restores its crashes and blocks", "[crash]")
 {
     crash_record record;
