Notice engines that go down as an answer without length ends

Callers saw: requests that crash engines were answered 200 with a part of the answer where it had no length, and took down engine after engine. Cause: such an answer ends with its connection, and a crash that closes the connection in order looks like its end; the engine was not looked at. Change: after an answer that ended with its connection the engine is probed, and a refused probe counts as a crash.

--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -52,6 +52,7 @@
         /** The engine served the request to its end. An answer without a length
          *  may also end because the engine went down. */
         bool served_whole = false;
+        bool ended_by_close = false; ///< The answer had no length or chunks.
         /** Answer with a 5xx status as text, not yet relayed to the client. */
         std::optional<std::string> failure_answer;
         unsigned failure_status = 0; ///< HTTP status of failure_answer.
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -63,6 +63,8 @@
         context_.control.report_suspect_served(traits(), *answer_began_at_);
     if (result.answered) {
         answered_ = true;
+        if (result.ended_by_close)
+            report_if_crashed(chosen);
         return false;
     }
     if (result.outcome == send_outcome::broken && !abandoned_here)
@@ -243,13 +245,13 @@
         header.set(http::field::connection, "close");
     auto text = header_text(header) + body;
     if (head.status >= 500)
-        return {send_outcome::served, false, false, std::move(text),
-                head.status};
+        return {send_outcome::served, false,      false, !framed,
+                std::move(text),      head.status};
     time_to_first_byte_ = elapsed();
     // An answer that arrives at the deadline still gets time to be written.
     const auto timeout = std::max<duration>(time_left(), milliseconds(500));
     const bool written = client_.write(text, timeout);
-    return {send_outcome::served, written, success && framed};
+    return {send_outcome::served, written, success && framed, !framed};
 }
 
 void exchange::return_to_pool(const answer_parser& parser,
@@ -297,7 +299,7 @@
     if (!stream_started_ && !send_stream_header(parser))
         return {send_outcome::broken};
     const bool written = client_.write("0\r\n\r\n", time_left());
-    return {send_outcome::served, written, framed};
+    return {send_outcome::served, written, framed, !framed};
 }
 
 bool exchange::relay_events(const std::string& bytes,
--- a/tests/daemons/gateway_crash_test.py
+++ b/tests/daemons/gateway_crash_test.py
@@ -24,6 +24,7 @@
         self.engines = []
         self.reached = []  # Requests with BAD_PART that reached an engine.
         self.lock = threading.Lock()
+        self.unframed = False  # Answers end with their connection.
 
     def answer(self, request):
         prompt = request.headers.get("Prompt-Prefix", "")
@@ -33,11 +34,14 @@
             bad = f"{BAD_PART}:" in prompt
             if bad:
                 self.reached.append(request)
+        if bad and self.unframed:
+            request.send(request.response_head() +
+                         "\r\nid: 1\ndata: a\n\n")
+            return engine.crash(reset=False)
         if bad:
             request.begin_stream()
             request.send_event(1)
-            engine.crash()
-            return
+            return engine.crash()
         GatewayTestCase.stream_two_events(request)
 
 
@@ -99,6 +103,14 @@
             self.assertEqual(statuses, ["crashes_engines"] * 8)
             self.assertLessEqual(len(self.crashing.reached), reached)
 
+    def test_crash_that_ends_an_answer_without_length_is_noticed(self):
+        """Such an answer looks whole, as its connection is closed."""
+        self.start_crashing_engines(12)
+        self.crashing.unframed = True
+        statuses = self.send_bad_requests([self.port], 12)
+        self.assertEqual(statuses[-6:], ["crashes_engines"] * 6)
+        self.assertLessEqual(len(self.crashing.reached), 5)
+
     def test_restarted_vm_still_refuses_a_crashing_prompt_part(self):
         """The crash list must be read before clients come."""
         self.start_crashing_engines(12)
--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -212,14 +212,18 @@
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
-    def crash(self):
-        """Closes the port and resets all connections."""
+    def crash(self, reset=True):
+        """Closes the port, and resets or closes all connections."""
         self.stop()
         for connection in list(self.connections):
             with contextlib.suppress(OSError):
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                      b"\1\0\0\0\0\0\0\0")
-                connection.shutdown(socket.SHUT_RD)
+                if reset:
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER,
+                        b"\1\0\0\0\0\0\0\0")
+                    connection.shutdown(socket.SHUT_RD)
+                else:
+                    connection.shutdown(socket.SHUT_RDWR)
                 connection.close()
 
     def accept(self):
