Don't take an outage of many engines for requests that crash them

Cause: in an outage of many engines requests are resumed within milliseconds at engines that fail next, and counted as sent in doubt. Change: a part is in doubt only half a second after the first news of a crash, and below five crashes it must have a third of all since its first. The same request with the same body is in doubt at once, as before.

--- a/packages/router/crash_record_base.cpp
+++ b/packages/router/crash_record_base.cpp
@@ -1,6 +1,8 @@
 /** @file crash_record_base.cpp Record of requests that crash engines. */
 #include "router/crash_record_base.hpp"
 
+#include "router/request_trait_func.hpp"
+
 #include <algorithm>
 
 namespace rosemarydeck
@@ -43,7 +45,12 @@
 
 bool crash_record::suspicion::sufficient(const crash_options& options) const
 {
-    return engines.size() >= options.min_crashed_engines &&
+    const auto crashed = engines.size();
+    const bool probable =
+        crashed >= options.certain_crashed_engines ||
+        static_cast<double>(crashed) >=
+            options.min_crash_share * static_cast<double>(all_crashed);
+    return crashed >= options.min_crashed_engines && probable &&
            any_sent_in_doubt(engines);
 }
 
@@ -53,16 +60,20 @@
     auto& known = knowledge_[trait];
     known.changed = now;
     known.learned.emplace(engine, now);
+    learned_crashes_.emplace(engine, now);
 }
 
 void crash_record::record_crash(const crash_sighting& sighting, time_point now)
 {
     for (const auto& trait : sighting.traits) {
         const auto& learned = knowledge_[trait].learned;
+        // A request that comes back with the same body blocks only itself.
+        const auto doubt_time =
+            is_part(trait) ? options_.min_doubt_time : duration{};
         const bool in_doubt =
             std::any_of(learned.begin(), learned.end(), [&](const auto& one) {
                 return one.first != sighting.engine &&
-                       one.second < sighting.sent;
+                       one.second + doubt_time < sighting.sent;
             });
         own_crashes_[trait].try_emplace(sighting.engine,
                                         own_crash{in_doubt, now});
@@ -223,6 +234,7 @@
     for (const auto& [trait, engines] : open_) {
         const auto known = knowledge_.find(trait);
         suspicion one{trait, engines};
+        one.all_crashed = crashed_since(engines);
         if (known != knowledge_.end()) {
             const auto& served = known->second.served;
             if (served && now < *served + options_.served_period)
@@ -241,6 +253,19 @@
     return found;
 }
 
+std::size_t crash_record::crashed_since(const crashed_engines& engines) const
+{
+    std::optional<time_point> first;
+    for (const auto& [engine, in_doubt] : engines) {
+        const auto known = learned_crashes_.find(engine);
+        if (known != learned_crashes_.end())
+            first = std::min(first.value_or(known->second), known->second);
+    }
+    return static_cast<std::size_t>(std::count_if(
+        learned_crashes_.begin(), learned_crashes_.end(),
+        [&](const auto& one) { return first && one.second >= *first; }));
+}
+
 void crash_record::update(time_point now)
 {
     expire(now);
@@ -312,6 +337,9 @@
     erase_empty(own_cleared_);
     combine_reports();
     expire_knowledge(now);
+    std::erase_if(learned_crashes_, [&](const auto& one) {
+        return one.second + options_.crash_ttl <= now;
+    });
 }
 
 void crash_record::expire_knowledge(time_point now)
--- a/packages/router/crash_record_base.hpp
+++ b/packages/router/crash_record_base.hpp
@@ -14,6 +14,17 @@
     /** Number of engine incarnations that a trait must have crashed to be
      *  blocked. */
     std::size_t min_crashed_engines = 3;
+    /** Time from the first news of the crash of a prompt's part from which on
+     *  further requests with it are sent in doubt. Longer than an outage of
+     * many engines takes to show, in which requests are resumed at engines that
+     * fail next. */
+    duration min_doubt_time = milliseconds(500);
+    /** Part of all crashes since its first one that a trait must have to be
+     *  blocked: in an outage of many engines a request may meet several of
+     *  them. */
+    double min_crash_share = 1.0 / 3;
+    /** Number of crashed engines from which on the share doesn't matter. */
+    std::size_t certain_crashed_engines = 5;
     /** How long a crash is counted that does not lead to a block. */
     duration crash_ttl = milliseconds(60'000);
     /** How long a block holds after the last request that it refused. */
@@ -30,7 +41,8 @@
 };
 
 /** For each engine incarnation that went down while it had a request with a
- *  trait: true if the request was sent although the trait was suspected. */
+ *  trait: true if the request was sent although the trait had been suspected
+ * for some time. */
 using crashed_engines = std::map<server_id, bool>;
 
 /** The crashes that one VM saw and those that it found unrelated to a trait, as
@@ -135,6 +147,8 @@
         request_trait trait;
         crashed_engines engines;
         bool cleared_before = false; ///< Of other crashes, by any VM.
+        /** Engines that went down since the trait's first crash. */
+        std::size_t all_crashed = 0;
 
         /** @return True if enough crashes are left for a block. */
         [[nodiscard]] bool sufficient(const crash_options& options) const;
@@ -171,6 +185,9 @@
     /** @return Suspicions that are sufficient for a block, the most probable
      *  first. */
     [[nodiscard]] std::vector<suspicion> candidates(time_point now) const;
+    /** @return Number of engines that went down since the first of these. */
+    [[nodiscard]] std::size_t
+    crashed_since(const crashed_engines& engines) const;
     void expire(time_point now);
     void expire_knowledge(time_point now);
     void limit_size(time_point now);
@@ -183,6 +200,8 @@
     std::set<request_trait> cleared_unpublished_;
     std::map<vm_id, peer_report> reports_;
     std::map<request_trait, trait_knowledge> knowledge_;
+    /** When this VM learned of each crash, of whatever request. */
+    std::map<server_id, time_point> learned_crashes_;
     std::map<request_trait, hold> holds_; ///< Of blocked traits.
     std::vector<trait_combination> blocked_;
 
--- a/packages/router/request_trait_func.cpp
+++ b/packages/router/request_trait_func.cpp
@@ -41,6 +41,11 @@
     return request_trait("p" + hash_text(part.id));
 }
 
+bool is_part(const request_trait& trait)
+{
+    return !trait.empty() && trait.value().front() == 'p';
+}
+
 std::vector<request_trait> traits_of(const request_head& head,
                                      const std::string& body)
 {
--- a/packages/router/request_trait_func.hpp
+++ b/packages/router/request_trait_func.hpp
@@ -21,6 +21,9 @@
  *  hexadecimal digits. */
 request_trait trait_of_part(const prompt_part& part);
 
+/** @return True if a trait is that of a part, false if it is a fingerprint. */
+bool is_part(const request_trait& trait);
+
 /** @return The request's fingerprint first, then the trait of each part of its
  *  prompt but the last, which belongs to this request only. */
 std::vector<request_trait> traits_of(const request_head& head,
