--- a/packages/client/client_explain_cmd.cpp
+++ b/packages/client/client_explain_cmd.cpp
@@ -57,8 +57,9 @@
     outcome_row{"client_gone",
                 "the client closed its connection before the answer's end"},
     outcome_row{"crashes_engines",
-                "engines went down earlier while they ran this request, so it "
-                "is not sent to any for now"}};
+                "engines went down earlier while they ran this request or "
+                "others with the same part of the prompt, so it is not sent "
+                "to any for now"}};
 
 std::string_view meaning_of(const std::string& outcome)
 {
