--- a/tests/daemons/gateway_crash_test.py
+++ b/tests/daemons/gateway_crash_test.py
@@ -87,6 +87,14 @@
         self.assertEqual(statuses[-8:], ["crashes_engines"] * 8)
         self.assertLessEqual(len(self.crashing.reached), 5)
 
+    def test_crashing_prompt_part_is_refused_while_the_store_is_away(self):
+        """A VM decides by the crashes that it saw itself."""
+        self.start_crashing_engines(12)
+        self.store.set_available(False)
+        statuses = self.send_bad_requests([self.port], 8)
+        self.assertEqual(statuses[-4:], ["crashes_engines"] * 4)
+        self.assertLessEqual(len(self.crashing.reached), 5)
+
     def test_crashing_prompt_part_is_known_to_all_vms(self):
         """No single VM sees enough crashes to recognise the part."""
         self.writes_per_s, self.peer_port = 1200, free_port()
--- a/tests/daemons/gateway_limit_test.py
+++ b/tests/daemons/gateway_limit_test.py
@@ -68,6 +68,15 @@
         # The engine still gets a part of what it takes.
         self.assertGreaterEqual(len(self.arrivals), 3)
 
+    def test_limit_of_an_engine_is_kept_while_the_store_is_away(self):
+        self.start_limited([self.answer_other])
+        self.store.set_available(False)
+        self.send_for([self.port], 0.5)
+        since = time.monotonic()
+        replies = self.send_for([self.port], 5)
+        self.assert_limit_kept(since)
+        self.assertEqual({status for status, _ in replies}, {200})
+
     def test_limit_of_an_engine_holds_for_all_vms_together(self):
         self.writes_per_s, self.peer_port = 1200, free_port()
         self.start_limited([self.answer_other])
