Close a crashed stand-in engine's port before its connections

The VM's log shows that two of the six engines still accepted the probe after they had reset the connection (no engine_down for i-3 and i-8), so their crashes did not count: the stand-in's port stays open until a pending accept() returns. Change: crash() waits for that; the bound stays.

--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -202,7 +202,8 @@
         self.connections = []
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
+        self.accepting = threading.Thread(target=self.accept, daemon=True)
+        self.accepting.start()
 
     def stop(self):
         """Closes the port.
@@ -215,6 +216,8 @@
     def crash(self, reset=True):
         """Closes the port, and resets or closes all connections."""
         self.stop()
+        # The port stays open until the pending accept() has returned.
+        self.accepting.join(5)
         for connection in list(self.connections):
             with contextlib.suppress(OSError):
                 if reset:
