Let the crashing stand-in continue a resumed stream with the next event

The VM's log shows the fault: the stand-in sent event 1 to a stream that was resumed after event 1, so the VM broke it off for the wrong id and probed the engine before it went down; such a crash was not counted. Whether it was depended on which came first. Change: the stand-in sends the next event's id.

--- a/tests/daemons/gateway_crash_test.py
+++ b/tests/daemons/gateway_crash_test.py
@@ -34,13 +34,15 @@
             bad = f"{BAD_PART}:" in prompt
             if bad:
                 self.reached.append(request)
+        # Another id than the next would end a resumed stream before the crash.
+        event = int(request.headers.get("Last-Event-Id", 0)) + 1
         if bad and self.unframed:
             request.send(request.response_head() +
-                         "\r\nid: 1\ndata: a\n\n")
+                         f"\r\nid: {event}\ndata: a\n\n")
             return engine.crash(reset=False)
         if bad:
             request.begin_stream()
-            request.send_event(1)
+            request.send_event(event)
             return engine.crash()
         GatewayTestCase.stream_two_events(request)
 
