--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -29,8 +29,8 @@
 /** Much of a budget is left if it covers more than this many requests of the
  *  same maximum charge. */
 constexpr token_count ample_budget_requests = 20;
-/** Retry-After for crashes_engines. The record of a request that crashes
- *  engines expires after about this time. */
+/** Retry-After for crashes_engines. A block that is wrong ends within seconds
+ *  where other requests clear it, or after minutes by a trial. */
 constexpr auto retry_after_blocked = milliseconds(60'000);
 /** Minimum remaining time for a send: with less, no engine can start on the
  *  request. */
