--- a/packages/common/id_type.hpp
+++ b/packages/common/id_type.hpp
@@ -91,6 +91,10 @@
 using idempotency_key = strong_string<struct idempotency_tag>;
 /** Name of a grant, unique among all holders. */
 using grant_id = strong_string<struct grant_tag>;
+/** Version of the software that an engine runs. */
+using software_version = strong_string<struct software_version_tag>;
+/** Id of the client attempt that brought a stream's first event. */
+using stream_id = strong_string<struct stream_tag>;
 /** Something that requests have in common: path, caller and body, or one part
  *  of their prompts. */
 using request_trait = strong_string<struct request_trait_tag>;
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -291,6 +291,7 @@
     log_.write("engine_listed", {{"engine", object.name},
                                  {"service", engine->service.value()},
                                  {"address", engine->endpoint()},
+                                 {"software", engine->software.value()},
                                  {"draining", engine->draining ? 1 : 0},
                                  {"born", engine->started_at_ms},
                                  {"revision", object.revision}});
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -187,7 +187,8 @@
      *  expected. */
     bool refused_by_engine_ = false;
     engine_connection_ptr engine_connection_;
-    server_id last_engine_; ///< Engine of the last send.
+    server_id last_engine_;          ///< Engine of the last send.
+    software_version last_software_; ///< Software of that engine.
 
     bool is_trial_ = false; ///< Sent although it is blocked.
     bool stream_started_ = false;
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -48,6 +48,7 @@
 bool exchange::try_engine(const placement& chosen)
 {
     last_engine_ = chosen.engine.id;
+    last_software_ = chosen.engine.software;
     const auto result = send(chosen);
     engine_connection_.reset();
     const auto now = context_.clock.now();
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -171,6 +171,7 @@
     dc_id data_centre;
     std::uint32_t slots = 1; ///< Requests that run concurrently.
     bool draining = false;   ///< Takes no new requests.
+    software_version software;
     /** Unix time of its start, in milliseconds. */
     std::int64_t started_at_ms = 0;
 
--- a/packages/router/request_type.hpp
+++ b/packages/router/request_type.hpp
@@ -29,6 +29,8 @@
     /** Id of the last event that the client received of a stream to be
      *  resumed. */
     std::optional<std::uint64_t> resume_after;
+    /** The stream that is to be resumed; empty if the client names none. */
+    stream_id resumed_stream;
     token_count input_tokens = 0;
     token_count max_output_tokens = 0;
     std::vector<prompt_part> prompt;
