Let a stream go on only at the software version that began it

Cause: no decision read an engine's software version. A resume within an answer and a client's take-up went to the prompt's home or the least loaded engine. Change: a VM begins resumable streams only at versions that its own entry in the store names, so that whoever reads all entries after the stream began finds its version there. A take-up that this VM doesn't know reads them once (one list answers all that wait): a single version of the service is the stream's; otherwise the entries list the streams, while several versions serve and for 60 s after. What stays unknown is refused at once with 503. Weighted services are chosen by the stream's id, not by that of the take-up. Why it works: stream_registry_test plays kills, releases, stale lists and lost answers in random orders; no stream is given another version.

--- a/packages/client/client_explain_cmd.cpp
+++ b/packages/client/client_explain_cmd.cpp
@@ -56,6 +56,11 @@
                 "the answer's stream broke off and could not be resumed"},
     outcome_row{"client_gone",
                 "the client closed its connection before the answer's end"},
+    outcome_row{"stream_origin_unknown",
+                "the client takes up a stream, and neither this VM nor the "
+                "entries of the others tell at which software version it "
+                "began; see stream_looked_up (read: 0 if the store could not "
+                "be read)"},
     outcome_row{"crashes_engines",
                 "engines went down earlier while they ran this request or "
                 "others with the same part of the prompt, so it is not sent "
--- a/packages/gateway/control_presence.cpp
+++ b/packages/gateway/control_presence.cpp
@@ -122,8 +122,8 @@
 {
     for (const auto& vm : presence_.removable(clock_.now())) {
         log_.write("vm_forgotten", {{"vm", vm.value()}});
-        for (const auto* kind :
-             {platform::presence_kind, platform::report_kind}) {
+        for (const auto* kind : {platform::presence_kind, platform::report_kind,
+                                 platform::stream_kind}) {
             const auto permit = store_.acquire_permit();
             // The next pass, or another VM, retries a removal that fails.
             if (!store_.call(platform::remove_call(kind, vm.value())))
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -34,10 +34,10 @@
 
 control_service::control_service(boost::asio::io_context& io,
                                  control_options options, wallet& local_wallet,
-                                 credit_pool& credit, event_log& log,
-                                 gateway_metrics& metrics)
-    : io_(io), options_(std::move(options)), wallet_(local_wallet), log_(log),
-      metrics_(metrics),
+                                 credit_pool& credit, stream_registry& streams,
+                                 event_log& log, gateway_metrics& metrics)
+    : io_(io), options_(std::move(options)), wallet_(local_wallet),
+      streams_(streams), log_(log), metrics_(metrics),
       intervals_(sync_intervals_for(options_.settings.bounds)),
       store_(io, options_.settings.store, intervals_.max_probe_pause, log,
              metrics),
@@ -95,6 +95,7 @@
         fiber(launch::post, [this, kind] { synchronize(kind); }).detach();
     fiber(launch::post, [this] { start_budgets(); }).detach();
     fiber(launch::post, [this] { run_presence(); }).detach();
+    fiber(launch::post, [this] { run_streams(); }).detach();
     fiber(launch::post, [this] { run_housekeeping(); }).detach();
 }
 
@@ -117,7 +118,8 @@
 bool control_service::ready() const
 {
     if (own_presence_.out_of_rotation || closing_ || !config_ ||
-        !engines_loaded_ || !reports_loaded_ || !budgets_started_)
+        !engines_loaded_ || !reports_loaded_ || !budgets_started_ ||
+        !streams_published_)
         return false;
     // A single shard grants headroom for all customers in advance. With more
     // of them, headroom comes from other VMs, so these must be known.
@@ -317,6 +319,11 @@
     auto view = std::make_shared<fleet_view>();
     view->config = config_;
     view->engines = directory_.usable();
+    std::set<stream_origin> origins;
+    for (const auto& [service, engines] : view->engines)
+        for (const auto& engine : engines)
+            origins.insert({service, engine.software});
+    streams_.update_listed(std::move(origins), clock_.now());
     view->live_vms = presence_.live_vms(clock_.now());
     view->vm_rank = presence_.rank(clock_.now());
     view->notices = notices_.latest();
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -4,6 +4,7 @@
 #include "gateway/budget_shard_base.hpp"
 #include "gateway/credit_service_base.hpp"
 #include "gateway/store_client_base.hpp"
+#include "gateway/traffic_context_type.hpp"
 #include "router/engine_directory_base.hpp"
 #include "router/fleet_presence_base.hpp"
 #include "router/vm_report_type.hpp"
@@ -30,7 +31,8 @@
 {
 public:
     control_service(boost::asio::io_context& io, control_options options,
-                    wallet& local_wallet, credit_pool& credit, event_log& log,
+                    wallet& local_wallet, credit_pool& credit,
+                    stream_registry& streams, event_log& log,
                     gateway_metrics& metrics);
 
     /** Starts the fibers that synchronize with the store. */
@@ -49,6 +51,8 @@
     void report_trial(const trait_combination& combination);
     /** Records what an incarnation of an engine said of itself. */
     void report_notice(const server_id& engine, const engine_notice& notice);
+    /** Answers where a stream began that another VM brought. */
+    void find_origin(std::shared_ptr<origin_lookup> lookup);
     /** Returns credit and unspent headroom; if the ledger has several shards,
      *  also removes this VM's presence entry. Suspends the fiber. */
     void close_budgets();
@@ -117,9 +121,18 @@
     void update_blocked();
     void log_blocked(const std::vector<trait_combination>& blocked);
 
+    // Streams that clients may take up.
+    void run_streams();
+    /** Reads the entries of all VMs. @param restore_own Take over the entry of
+     *  this VM's previous run. */
+    bool read_stream_reports(bool restore_own);
+    void publish_streams();
+    void find_origins();
+
     boost::asio::io_context& io_;
     control_options options_;
     wallet& wallet_;
+    stream_registry& streams_;
     event_log& log_;
     gateway_metrics& metrics_;
     runtime_clock clock_;
@@ -152,6 +165,11 @@
     std::vector<trait_combination> blocked_;
     std::vector<trait_combination> trials_;
     bool update_scheduled_ = false;
+    std::uint64_t stream_revision_ = 0;
+    bool streams_loaded_ = false; ///< All VMs' entries were read once.
+    bool streams_published_ = false;
+    std::vector<std::shared_ptr<origin_lookup>> origin_lookups_;
+    bool finding_origins_ = false; ///< A fiber answers the lookups.
     time_point next_block_update_{};
     bool closing_ = false;
     time_point started_ = clock_.now();
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -54,6 +54,8 @@
     ++context_.open_requests;
     request_head_ = platform::decode_request(request_);
     initial_event_id_ = last_event_id_ = request_head_.resume_after.value_or(0);
+    stream_ = initial_event_id_ == 0 ? stream_id(request_head_.id)
+                                     : request_head_.resumed_stream;
     view_ = context_.view;
     keep_alive_ = request_.keep_alive() && !context_.draining &&
                   !context_.out_of_rotation;
@@ -68,6 +70,9 @@
             cancel_send();
         });
         serve();
+        if (stream_recorded_)
+            context_.streams.record_ended(stream_, answered_,
+                                          context_.clock.now());
         settle();
         finish();
         timer_.cancel();
@@ -108,6 +113,8 @@
         timeout = std::min(timeout, *request_head_.deadline);
     deadline_ = started_ + timeout;
     service_ = choose_service();
+    if (!find_stream_origin())
+        return false;
     placement_request_.service = service_;
     placement_request_.input = request_head_.input_tokens;
     placement_request_.output = request_head_.max_output_tokens;
@@ -137,7 +144,9 @@
         total += backend.weight;
     if (total == 0)
         return route_->backends.front().service;
-    auto point = stable_hash(request_head_.id) % total;
+    // A stream that is taken up belongs to the service that began it.
+    const auto& key = stream_.empty() ? request_head_.id : stream_.value();
+    auto point = stable_hash(key) % total;
     for (const auto& backend : route_->backends) {
         if (point < backend.weight)
             return backend.service;
@@ -209,9 +218,10 @@
         const auto engines = view_->engines.find(service_);
         if (engines == view_->engines.end() || !acquire_send())
             return;
-        const auto chosen =
-            context_.selector.place(placement_request_, engines->second,
-                                    tried_engines_, context_.clock.now());
+        std::vector<engine_info> storage;
+        const auto chosen = context_.selector.place(
+            placement_request_, eligible_engines(engines->second, storage),
+            tried_engines_, context_.clock.now());
         if (!chosen || !try_engine(*chosen))
             return;
         view_ = context_.view;
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -86,8 +86,21 @@
     /** Chooses among the route's services by weight, hashing the request id. */
     service_id choose_service() const;
 
+    /** Finds where a stream began that the client takes up; refuses the request
+     *  if that is unknown. */
+    bool find_stream_origin();
+    std::optional<stream_origin> look_up_origin();
+
     // Sends to engines.
 
+    /** @param storage Holds the result if it is a part of @p engines.
+     *  @return Engines at which the stream may begin or go on. */
+    std::span<const engine_info>
+    eligible_engines(const std::vector<engine_info>& engines,
+                     std::vector<engine_info>& storage) const;
+    /** Records where a stream began, before the client gets its first event. */
+    void record_stream_begun(const placement& chosen);
+
     /** Tries engines until one answers or no further send is allowed. */
     void serve();
     /** Takes a further send from the retry budget; the first one is free.
@@ -123,7 +136,8 @@
     send_result relay_whole_answer(answer_parser& parser,
                                    const answer_head& head);
     /** Relays the events of a stream; each one must have the next id. */
-    send_result relay_stream(answer_parser& parser, const answer_head& head);
+    send_result relay_stream(answer_parser& parser, const answer_head& head,
+                             const placement& chosen);
     /** Reads once from the engine. @return False if that failed. */
     bool read_some(answer_parser& parser);
     bool relay_events(const std::string& bytes, const answer_parser& parser);
@@ -192,6 +206,12 @@
 
     bool is_trial_ = false; ///< Sent although it is blocked.
     bool stream_started_ = false;
+    /** Id of the client attempt that began the stream; empty if the client
+     *  takes a stream up and doesn't name it. */
+    stream_id stream_;
+    /** Where the stream began, once its first event was received. */
+    std::optional<stream_origin> origin_;
+    bool stream_recorded_ = false;
     /** Id of the last event that the client had before this request. */
     std::uint64_t initial_event_id_ = 0;
     std::uint64_t last_event_id_ = 0; ///< Id of the last event received.
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -222,7 +222,7 @@
     if (success && route_->repeat == repeat_rule::stream) {
         parser.body_limit(
             boost::none); // The events are passed on as they come.
-        return relay_stream(parser, head);
+        return relay_stream(parser, head, chosen);
     }
     return relay_whole_answer(parser, head);
 }
@@ -272,7 +272,8 @@
 }
 
 exchange::send_result exchange::relay_stream(answer_parser& parser,
-                                             const answer_head& head)
+                                             const answer_head& head,
+                                             const placement& chosen)
 {
     event_splitter splitter;
     while (true) {
@@ -286,6 +287,8 @@
         }
         if (splitter.pending_bytes() > max_event_bytes)
             return {send_outcome::broken};
+        if (!out.empty())
+            record_stream_begun(chosen);
         if (!out.empty() && !relay_events(out, parser))
             return {send_outcome::broken};
         if (parser.is_done())
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -60,10 +60,12 @@
     log_.write("start", {{"instance", options.self.value()},
                          {"data_centre", settings_.data_centre.value()},
                          {"callers", settings_.callers.text()}});
-    control_ = std::make_unique<control_service>(
-        io_, std::move(options), wallet_, credit_pool_, log_, metrics_);
-    traffic_ = std::make_unique<traffic_service>(
-        settings_, wallet_, credit_pool_, log_, metrics_, make_callbacks());
+    control_ = std::make_unique<control_service>(io_, std::move(options),
+                                                 wallet_, credit_pool_,
+                                                 streams_, log_, metrics_);
+    traffic_ = std::make_unique<traffic_service>(settings_, wallet_,
+                                                 credit_pool_, streams_, log_,
+                                                 metrics_, make_callbacks());
     const auto opened = open_ports();
     if (!opened) {
         log_.write("stop", {{"why", describe(opened.error())}});
@@ -117,6 +119,11 @@
             control_->report_notice(engine, notice);
         });
     };
+    callbacks.find_origin = [this](std::shared_ptr<origin_lookup> lookup) {
+        boost::asio::post(io_, [this, lookup = std::move(lookup)] {
+            control_->find_origin(lookup);
+        });
+    };
     return callbacks;
 }
 
--- a/packages/gateway/gateway_base.hpp
+++ b/packages/gateway/gateway_base.hpp
@@ -48,6 +48,7 @@
     gateway_metrics metrics_;
     wallet wallet_;
     credit_pool credit_pool_;
+    stream_registry streams_;
     runtime_clock clock_;
     std::unique_ptr<control_service> control_;
     std::unique_ptr<traffic_service> traffic_;
--- a/packages/gateway/gateway_metrics_base.cpp
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -33,6 +33,8 @@
         {"refused_engines_full_total", "Refused: engines turned it away."},
         {"refused_crashing_total",
          "Refused: engines went down with this request before."},
+        {"refused_unknown_origin_total",
+         "Refused: unknown at which software version the stream began."},
         {"clients_gone_total", "Requests whose client left first."},
         {"sends_total", "Requests sent to engines, repeats included."},
         {"repeats_total", "Sends beyond a request's first."},
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -27,6 +27,7 @@
     refused_no_engine,
     refused_engines_full,
     refused_crashing,
+    refused_unknown_origin,
     clients_gone,
     sends,
     retries,
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -11,12 +11,24 @@
 #include "router/engine_selector_base.hpp"
 #include "router/link_load_base.hpp"
 #include "router/retry_budget_base.hpp"
+#include "router/stream_registry_base.hpp"
 
+#include <atomic>
 #include <functional>
 
 namespace rosemarydeck
 {
 
+/** A question to the control thread where a stream began. */
+struct origin_lookup
+{
+    stream_id stream; ///< Empty if the client named none.
+    service_id service;
+    /** The answer; may be read once done is true. */
+    std::optional<stream_origin> origin;
+    std::atomic<bool> done{false};
+};
+
 /** Requests and reports to the control thread; callable from any thread. */
 struct control_callbacks
 {
@@ -36,17 +48,20 @@
     std::function<void(const trait_combination&)> report_trial;
     /** Reports what an incarnation of an engine said of itself. */
     std::function<void(const server_id&, const engine_notice&)> report_notice;
+    /** Asks where a stream that another VM brought began. */
+    std::function<void(std::shared_ptr<origin_lookup>)> find_origin;
 };
 
 /** State of the traffic thread, shared by all client connections. No other
- *  thread may access it; the wallet, credit, log and metrics that it refers to
- *  may be used from any thread. */
+ *  thread may access it; the wallet, credit, streams, log and metrics that it
+ * refers to may be used from any thread. */
 struct traffic_context
 {
     boost::asio::io_context& io;
     gateway_settings settings;
     wallet& local_wallet;
     credit_pool& credit;
+    stream_registry& streams;
     event_log& log;
     gateway_metrics& metrics;
     control_callbacks control;
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -25,12 +25,14 @@
 
 traffic_service::traffic_service(const gateway_settings& settings,
                                  wallet& local_wallet, credit_pool& credit,
-                                 event_log& log, gateway_metrics& metrics,
+                                 stream_registry& streams, event_log& log,
+                                 gateway_metrics& metrics,
                                  control_callbacks callbacks)
     : context_{.io = io_,
                .settings = settings,
                .local_wallet = local_wallet,
                .credit = credit,
+               .streams = streams,
                .log = log,
                .metrics = metrics,
                .control = std::move(callbacks)}
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -65,12 +65,16 @@
 
     bool operator==(const route_rule&) const = default;
 
+    /** @return True if clients may take up a stream that broke off. */
+    [[nodiscard]] bool resumable_stream() const
+    {
+        return repeat == repeat_rule::stream && resumable;
+    }
     /** @return True if a request that may have run on one engine may be sent
      *  to another. */
     [[nodiscard]] bool repeatable() const
     {
-        return repeat == repeat_rule::idempotent ||
-               (repeat == repeat_rule::stream && resumable);
+        return repeat == repeat_rule::idempotent || resumable_stream();
     }
 };
 
--- a/packages/router/router_json_func.cpp
+++ b/packages/router/router_json_func.cpp
@@ -1,6 +1,7 @@
 /** @file router_json_func.cpp JSON forms of the entries that VMs publish. */
 #include "common/json_func.hpp"
 #include "router/fleet_presence_base.hpp"
+#include "router/stream_origin_type.hpp"
 #include "router/vm_report_type.hpp"
 
 namespace rosemarydeck
@@ -51,6 +52,32 @@
         engines.get_to(value.cleared[request_trait(trait)]);
 }
 
+void to_json(nlohmann::json& json, const stream_report& value)
+{
+    std::map<stream_origin, std::vector<stream_id>> streams;
+    for (const auto& origin : value.origins)
+        streams[origin];
+    for (const auto& [stream, origin] : value.streams)
+        streams[origin].push_back(stream);
+    json = {{"origins", nlohmann::json::array()}};
+    for (const auto& [origin, ids] : streams)
+        json["origins"].push_back({{"service", origin.service},
+                                   {"software", origin.software},
+                                   {"streams", ids}});
+}
+
+void from_json(const nlohmann::json& json, stream_report& value)
+{
+    value = {};
+    for (const auto& one : json.at("origins")) {
+        const stream_origin origin{one.at("service").get<service_id>(),
+                                   one.at("software").get<software_version>()};
+        value.origins.insert(origin);
+        for (const auto& id : one.at("streams"))
+            value.streams.emplace(id.get<stream_id>(), origin);
+    }
+}
+
 void to_json(nlohmann::json& json, const vm_report& value)
 {
     json = value.crashes;
