Keep a VM's entry of streams over its restart

Cause: the new process wrote its entry without that of its previous run, so the versions and streams from before the kill were gone.

--- a/packages/gateway/control_stream.cpp
+++ b/packages/gateway/control_stream.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-bool control_service::read_stream_reports([[maybe_unused]] bool restore_own)
+bool control_service::read_stream_reports(bool restore_own)
 {
     const auto objects = list_all(platform::stream_kind, false);
     if (!objects)
@@ -30,6 +30,8 @@
             auto report = object.spec.get<stream_report>();
             if (vm != options_.settings.vm)
                 peers.emplace(vm, std::move(report));
+            else if (restore_own)
+                streams_.restore(report, clock_.now());
         }
         catch (const nlohmann::json::exception& fault) {
             log_.write("streams_unreadable",
