--- a/tests/daemons/gateway_harness.py
+++ b/tests/daemons/gateway_harness.py
@@ -84,7 +84,8 @@
         self.start_count = 0
         self.writes_per_s = 400
         self.link_mbps, self.contact_ms = 1000, 3000
-        self.vm, self.peer_port = "vm-a", 0
+        self.vm, self.peer_port, self.relay_port = "vm-a", 0, 0
+        self.store_port = self.store.port
 
     def tearDown(self):
         if self.process and self.process.poll() is None:
@@ -101,7 +102,7 @@
         path.write_text(f'''
 node_name = "{self.vm}"
 zone = "dc1"
-internal_ports = [{self.peer_port}, {self.peer_port}]
+internal_ports = [{self.peer_port}, {self.relay_port}]
 seeds = []
 unknown_field = 1
 [listen]
@@ -117,7 +118,7 @@
 budget_extra_retries = 56
 budget_window_s = 10
 [provider]
-address = "127.0.0.1:{self.store.port}"
+address = "127.0.0.1:{self.store_port}"
 writes_per_s = {self.writes_per_s}
 ''')
         self.log_path = os.path.join(self.folder, f"log-{self.start_count}")
@@ -139,8 +140,10 @@
         """Runs a second VM; yields ports, logs and processes of both."""
         first = {key: getattr(self, key) for key in
                  ("process", "log", "log_path", "port", "metrics_port",
-                  "ready_port", "vm", "peer_port")}
-        self.vm, self.peer_port = name, free_port()
+                  "ready_port", "vm", "peer_port", "relay_port",
+                  "store_port")}
+        self.vm, self.store_port = name, self.store.port
+        self.peer_port, self.relay_port = free_port(), free_port()
         self.start_router()
         fleet.wait_until(self.is_ready, 20, "the second VM to be ready")
         second = {key: getattr(self, key) for key in first}
--- /dev/null
+++ b/tests/daemons/gateway_relay_test.py
@@ -0,0 +1,200 @@
+"""The router of the users' platform: a VM that reaches no engine."""
+
+import http.client
+import threading
+import time
+import unittest
+
+import fleet
+from gateway_harness import Client, GatewayTestCase, config, free_port
+from platform_standin import Engine, Link
+
+
+class GatewayRelayTest(GatewayTestCase):
+    """vm-a has links to the engines that are cut; vm-b reaches them."""
+
+    @staticmethod
+    def complete_stream(request):
+        after = int(request.headers.get("Last-Event-Id", 0))
+        request.begin_stream()
+        for event in range(after + 1, 4):
+            request.send_event(event)
+        request.end_stream()
+
+    @staticmethod
+    def hold_stream(request):
+        request.begin_stream()
+        request.send_event(1)
+        request.wait_for_disconnect(5)
+
+    def answer(self, request):
+        if "Prompt-Prefix" in request.headers:
+            return self.stream(request)
+        time.sleep(self.work_s)
+        request.answer(f"{request.method} {request.body.decode()}")
+
+    def start_two_vms(self):
+        """Starts the VMs and waits until they know each other."""
+        self.replies = []  # Streams that stay open.
+        self.stream, self.work_s = self.complete_stream, 0
+        self.store.put("config", "main", config(3))
+        self.engines = {service: [Engine(self.answer) for _ in range(2)]
+                        for service in ("models", "plain")}
+        links = {}
+        self.links = []
+        for service, engines in self.engines.items():
+            for number, engine in enumerate(engines):
+                self.register_engine(f"{service}-{number}", engine, service)
+                self.links.append(Link(engine.port))
+                links[f"127.0.0.1:{engine.port}"] = (
+                    f"127.0.0.1:{self.links[-1].port}")
+        self.server = self.store.start_server(links)
+        self.store_port = self.server.server_address[1]
+        self.peer_port, self.relay_port = free_port(), free_port()
+        self.start_router()
+        fleet.wait_until(self.is_ready, 20, "the router to be ready")
+        self.vms = self.enterContext(self.second_vm("vm-b"))
+        for vm in self.vms:
+            self.log_path = vm["log_path"]
+            fleet.wait_until(lambda: self.log_match("event=fleet_size vms=2"),
+                             20, "both VMs to be counted")
+
+    def cut(self, hang=False):
+        for link in self.links:
+            link.cut(hang)
+
+    def client(self):
+        return Client(self.vms[0]["port"])
+
+    def requests(self, service):
+        return [request for engine in self.engines[service]
+                for request in engine.requests]
+
+    def spent(self):
+        """Returns the tokens of acme that are charged or reserved."""
+        shares = self.ledger_account()["shares"]
+        return sum(share[1] + share[2] for share in shares.values())
+
+    def assert_served(self, count=8):
+        """Sends requests of each kind to vm-a; all must be served at once."""
+        for number in range(count):
+            reply = self.client().request("POST", "/order/1", f"{number}",
+                                          Request_Id=f"o{number}")
+            self.assertEqual((reply.status, reply.read()),
+                             (200, f"POST {number}".encode()))
+            reply = self.client().request("GET", f"/look/{number}")
+            self.assertEqual((reply.status, reply.read()), (200, b"GET "))
+            reply = self.client().chat(Request_Id=f"c{number}")
+            self.assertEqual(reply.status, 200)
+            self.assertIn(b"id: 3\n", reply.read())
+
+    def test_clients_of_a_vm_that_reaches_no_engine_are_served(self):
+        """New connections to engines are refused."""
+        self.start_two_vms()
+        self.assert_served(2)
+        self.cut()
+        self.assert_served()
+        ids = [one.id for one in self.requests("plain")
+               if one.method == "POST"]
+        self.assertEqual(len(ids), 10)  # None ran twice.
+
+    def test_clients_are_served_while_connections_to_engines_hang(self):
+        self.start_two_vms()
+        self.assert_served(2)
+        self.cut(hang=True)
+        begin = time.monotonic()
+        self.assert_served(6)
+        self.assertLess(time.monotonic() - begin, 6)
+
+    def test_request_makes_one_hop_at_most(self):
+        """No VM reaches an engine; the refusal is honest and comes at once."""
+        self.start_two_vms()
+        self.cut()
+        for engines in self.engines.values():
+            for engine in engines:
+                engine.crash()
+        for number in range(4):
+            begin = time.monotonic()
+            reply = self.client().request("POST", "/order/1", "x")
+            self.assertEqual(reply.status, 503)
+            self.assertGreater(float(reply.getheader("Retry-After")), 0)
+            self.assertLess(time.monotonic() - begin, 1.5)
+        for vm in self.vms:
+            self.log_path = vm["log_path"]
+            self.assertLessEqual(len(self.log_matches("event=request_end")), 8)
+
+    def test_engine_stops_when_the_client_of_another_vm_leaves(self):
+        self.start_two_vms()
+        self.cut()
+        gone = threading.Event()
+
+        def hold(request):
+            request.begin_stream()
+            request.send_event(1)
+            if request.wait_for_disconnect(5):
+                gone.set()
+        self.stream = hold
+        client = self.client()
+        reply = client.chat()
+        self.assertEqual(reply.readline(), b"id: 1\n")
+        reply.close()
+        client.connection.close()
+        self.assertTrue(gone.wait(2))
+
+    def test_order_that_another_vm_may_have_run_is_not_called_not_run(self):
+        """The engine breaks it off; it ran once and gets 502."""
+        self.start_two_vms()
+        self.cut()
+        self.work_s = 0.3
+        timer = threading.Timer(0.15, lambda: [
+            engine.crash() for engine in self.engines["plain"]])
+        timer.start()
+        reply = self.client().request("POST", "/order/1", "x")
+        self.assertEqual(reply.status, 502)
+        self.assertEqual(len(self.requests("plain")), 1)
+
+    def test_request_through_another_vm_is_charged_once(self):
+        self.start_two_vms()
+        self.cut()
+        reply = self.client().chat(tokens="1000,9")
+        self.assertEqual(reply.status, 200)
+        reply.read()
+        time.sleep(2.5)  # Each VM reports what it spent once a second.
+        # Three events of three tokens.
+        self.assertEqual(self.spent(), 1009)
+
+    def test_take_up_through_another_vm_goes_on_after_its_last_event(self):
+        self.start_two_vms()
+        self.stream = self.hold_stream
+        reply = self.client().chat(Request_Id="s-1")
+        self.assertEqual(reply.readline(), b"id: 1\n")
+        self.stream = self.complete_stream
+        self.cut()
+        with self.assertRaises((http.client.HTTPException, ConnectionError)):
+            while reply.readline():
+                pass
+        reply = self.client().chat(Request_Id="s-2", Resumes="s-1",
+                                   Last_Event_Id="1")
+        self.assertEqual(reply.status, 200)
+        text = reply.read()
+        self.assertIn(b"id: 2\n", text)
+        self.assertIn(b"id: 3\n", text)
+
+    def test_cut_is_not_taken_for_crashes(self):
+        """Streams with a common prompt part break off at all engines."""
+        self.start_two_vms()
+        self.stream = self.hold_stream
+        for number in range(12):
+            reply = self.client().chat(Request_Id=f"s-{number}")
+            self.assertEqual(reply.readline(), b"id: 1\n")
+            self.replies.append(reply)
+        self.cut()
+        time.sleep(1)
+        for vm in self.vms:
+            self.log_path = vm["log_path"]
+            self.assertEqual(self.log_matches("event=crash_seen"), [])
+            self.assertEqual(self.log_matches("event=request_blocked"), [])
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -33,7 +33,10 @@
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
                 status, reply = store.handle(self.command, self.path, body)
-                text = json.dumps(reply).encode()
+                text = json.dumps(reply)
+                for address, link in self.server.links.items():
+                    text = text.replace(f'"{address}"', f'"{link}"')
+                text = text.encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Content-Length", str(len(text)))
@@ -48,10 +51,16 @@
             def handle_error(self, *_):
                 pass  # A killed daemon resets its connections.
 
-        self.server = Server(("127.0.0.1", 0), Handler)
+        self.open_server = lambda: Server(("127.0.0.1", 0), Handler)
+        self.server = self.start_server({})
         self.port = self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever,
-                         daemon=True).start()
+
+    def start_server(self, links):
+        """Opens a port that names engines by the addresses of links to them."""
+        server = self.open_server()
+        server.links = links
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server
 
     def handle(self, method, path, body):
         url = urllib.parse.urlsplit(path)
@@ -138,6 +147,54 @@
             self.changed.notify_all()
 
 
+class Link:
+    """A path from one VM to an engine that can be cut off."""
+
+    def __init__(self, engine_port):
+        self.engine_port = engine_port
+        self.sockets = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.accepting = threading.Thread(target=self.accept, daemon=True)
+        self.accepting.start()
+
+    def accept(self):
+        while True:
+            try:
+                client, _ = self.listener.accept()
+            except OSError:
+                return  # Cut.
+            engine = socket.create_connection(("127.0.0.1", self.engine_port))
+            self.sockets += [client, engine]
+            for ends in ((client, engine), (engine, client)):
+                threading.Thread(target=self.forward, args=ends,
+                                 daemon=True).start()
+
+    @staticmethod
+    def forward(source, target):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+
+    def cut(self, hang=False):
+        """Resets all connections; refuses new ones, or lets them hang."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.accepting.join(5)
+        self.listener.close()
+        if hang:
+            # Further connections hang once the queue of one is full.
+            self.listener = socket.create_server(("127.0.0.1", self.port),
+                                                 backlog=0)
+            self.queued = socket.create_connection(("127.0.0.1", self.port))
+        for one in self.sockets:
+            with contextlib.suppress(OSError):
+                one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                               b"\1\0\0\0\0\0\0\0")
+                one.shutdown(socket.SHUT_RD)
+                one.close()
+
+
 class ReceivedRequest:
     """A request that an engine received, with methods to answer it."""
 
