Pass requests on to another VM where this one reaches no engine

Cause: a VM served its clients by its own links only; after four connections that failed it refused, though the other VMs reached the engines. Change: a VM of which no connection to a service's engines could be opened, or whose first two tries of a request failed, passes the request on to another VM, on an internal port of its own. That VM serves it like a client's: it reserves the budget, chooses the engine, limits sends and repeats (told how many were made), and never passes it on again. If it reaches no engine either it says so, and the request has not run; up to three VMs are asked, those of other data centres first once one has failed. One probe each 0.5 s finds out when the cut ends. An order that another VM may have run is not sent again.

--- a/packages/client/client_explain_cmd.cpp
+++ b/packages/client/client_explain_cmd.cpp
@@ -56,6 +56,9 @@
                 "the answer's stream broke off and could not be resumed"},
     outcome_row{"client_gone",
                 "the client closed its connection before the answer's end"},
+    outcome_row{"relayed",
+                "this VM reached no engine and passed the request on; see "
+                "request_relayed, and the log of the VM that it names"},
     outcome_row{"stream_origin_unknown",
                 "the client takes up a stream, and neither this VM nor the "
                 "entries of the others tell at which software version it "
--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -1,7 +1,10 @@
 /** @file client_connection_base.cpp The requests of one client connection. */
 #include "gateway/client_connection_base.hpp"
 
+#include "gateway/relay_header_type.hpp"
+
 #include <boost/beast/http/error.hpp>
+#include <charconv>
 
 namespace rosemarydeck
 {
@@ -31,9 +34,11 @@
 } // namespace
 
 client_connection::client_connection(traffic_context& context,
-                                     boost::asio::ip::tcp::socket socket)
+                                     boost::asio::ip::tcp::socket socket,
+                                     bool from_vm)
     : context_(context), stream_(std::make_shared<client_stream>(
-                             std::move(socket), context.link_bytes))
+                             std::move(socket), context.link_bytes)),
+      from_vm_(from_vm)
 {
 }
 
@@ -44,8 +49,17 @@
         if (!read_request(parser))
             break;
         serving_request_ = true;
-        const auto request = parser.release();
-        exchange active_exchange(context_, *stream_, request, received_at_);
+        auto request = parser.release();
+        std::optional<std::uint32_t> sends_before;
+        if (from_vm_) {
+            sends_before = 0;
+            const auto text = request[relay_sends_field];
+            std::from_chars(text.data(), text.data() + text.size(),
+                            *sends_before);
+        }
+        request.erase(relay_sends_field);
+        exchange active_exchange(context_, *stream_, request, received_at_,
+                                 sends_before);
         const auto action = active_exchange.run();
         serving_request_ = false;
         if (action == connection_action::close)
--- a/packages/gateway/client_connection_base.hpp
+++ b/packages/gateway/client_connection_base.hpp
@@ -11,8 +11,9 @@
 class client_connection
 {
 public:
+    /** @param from_vm The other end is a VM that passes requests on. */
     client_connection(traffic_context& context,
-                      boost::asio::ip::tcp::socket socket);
+                      boost::asio::ip::tcp::socket socket, bool from_vm);
 
     /** Serves requests until the connection ends. */
     void run();
@@ -35,6 +36,7 @@
 
     traffic_context& context_;
     std::shared_ptr<client_stream> stream_;
+    const bool from_vm_;
     bool serving_request_ = false;
     time_point received_at_{}; ///< First byte of the last request.
     boost::system::error_code parse_error_;
--- a/packages/gateway/control_presence.cpp
+++ b/packages/gateway/control_presence.cpp
@@ -25,7 +25,10 @@
         if (clock_.now() >= next_heartbeat && send_heartbeat())
             next_heartbeat = clock_.now() + heartbeat_interval;
         const auto live_before = presence_.live_vms(clock_.now());
+        const auto relays_before = relays();
         refresh_presence();
+        if (relays_before != relays())
+            publish_view();
         if (live_before != presence_.live_vms(clock_.now())) {
             log_.write("fleet_size", {{"vms", presence_.live_vms(clock_.now())},
                                       {"before", live_before}});
@@ -93,6 +96,17 @@
     join_home_shards();
 }
 
+std::vector<relay_peer> control_service::relays() const
+{
+    std::vector<relay_peer> result;
+    for (const auto& [vm, entry] : presence_.live(clock_.now()))
+        if (vm != options_.settings.vm && entry.relay_port != 0 &&
+            !entry.out_of_rotation)
+            result.push_back(
+                {vm, entry.data_centre, entry.address, entry.relay_port});
+    return result;
+}
+
 void control_service::log_store_calls()
 {
     if (clock_.now() < next_call_summary_)
--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -73,6 +73,7 @@
                      .data_centre = options_.settings.data_centre,
                      .address = options_.settings.control.address,
                      .port = options_.settings.control.port,
+                     .relay_port = options_.settings.relay.port,
                      .cores = options_.settings.cores})
 {
 }
@@ -326,6 +327,7 @@
     streams_.update_listed(std::move(origins), clock_.now());
     view->live_vms = presence_.live_vms(clock_.now());
     view->vm_rank = presence_.rank(clock_.now());
+    view->relays = relays();
     view->notices = notices_.latest();
     view->blocked = blocked_;
     view->trials = trials_;
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -103,6 +103,8 @@
     bool send_heartbeat();
     void refresh_presence();
     void remove_expired_vms();
+    /** @return VMs that take requests for this one. */
+    [[nodiscard]] std::vector<relay_peer> relays() const;
     void log_store_calls();
     void leave_fleet();
     bool write_own_object(const char* kind, const nlohmann::json& spec,
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -3,6 +3,7 @@
 
 #include "common/hash_func.hpp"
 #include "gateway/header_text_func.hpp"
+#include "gateway/relay_header_type.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
 namespace rosemarydeck
@@ -42,9 +43,11 @@
 } // namespace
 
 exchange::exchange(traffic_context& context, client_stream& client,
-                   const client_request& request, time_point received_at)
+                   const client_request& request, time_point received_at,
+                   std::optional<std::uint32_t> sends_before)
     : context_(context), client_(client), request_(request),
-      started_(received_at), timer_(context.io)
+      started_(received_at), timer_(context.io),
+      send_count_(sends_before.value_or(0)), relayed_(sends_before.has_value())
 {
 }
 
@@ -122,7 +125,9 @@
         placement_request_.shared_prefix_id = request_head_.shared_prefix();
         placement_request_.shared = request_head_.shared_tokens();
     }
-    context_.retries.record_request(service_, context_.clock.now());
+    // Counted where the client sent it.
+    if (!relayed_)
+        context_.retries.record_request(service_, context_.clock.now());
     return reserve();
 }
 
@@ -214,6 +219,20 @@
 {
     // The budget may have been waited for.
     view_ = context_.view;
+    const bool cut_off = !relayed_ && !reaches_engines();
+    if (cut_off) {
+        probe_engine();
+        relay();
+    }
+    if (relay_answered_ || (cut_off && may_have_run_))
+        return;
+    try_engines();
+    if (!cut_off && last_unreachable_)
+        relay();
+}
+
+void exchange::try_engines()
+{
     while (!is_finished() && (is_trial_ || !is_blocked())) {
         const auto engines = view_->engines.find(service_);
         if (engines == view_->engines.end() || !acquire_send())
@@ -270,6 +289,8 @@
 {
     if (answered_)
         return log_end("served", 200);
+    if (relay_answered_)
+        return log_end("relayed", relayed_status_);
     keep_alive_ = keep_alive_ && !stream_started_;
     if (client_.closed()) {
         context_.metrics.add(counter::clients_gone);
@@ -314,9 +335,11 @@
 {
     context_.metrics.add(refusal_counter);
     log_end(reason, status);
-    return write_answer(
-        status, platform::local_answer_header(request_head_.id, retry_after),
-        std::string("{\"error\":\"") + reason + "\"}\n");
+    auto fields = platform::local_answer_header(request_head_.id, retry_after);
+    if (relayed_ && refusal_counter == counter::refused_no_engine)
+        fields.set(relay_no_engine_field, "1");
+    return write_answer(status, std::move(fields),
+                        std::string("{\"error\":\"") + reason + "\"}\n");
 }
 
 bool exchange::write_answer(unsigned status, platform::header_fields fields,
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -32,9 +32,12 @@
 {
 public:
     /** @param received_at Time of the request's first byte. The client's time
-     *  limit counts from there, since a request may take long to arrive. */
+     *  limit counts from there, since a request may take long to arrive.
+     *  @param sends_before If set, another VM passed the request on, after that
+     *  many sends to engines. */
     exchange(traffic_context& context, client_stream& client,
-             const client_request& request, time_point received_at);
+             const client_request& request, time_point received_at,
+             std::optional<std::uint32_t> sends_before = std::nullopt);
 
     /** Suspends the calling fiber until the exchange has ended.
      *  @return What to do with the client's connection. */
@@ -101,8 +104,11 @@
     /** Records where a stream began, before the client gets its first event. */
     void record_stream_begun(const placement& chosen);
 
-    /** Tries engines until one answers or no further send is allowed. */
+    /** Has the request served by engines, or by another VM if this one reaches
+     *  none. */
     void serve();
+    /** Tries engines until one answers or no further send is allowed. */
+    void try_engines();
     /** Takes a further send from the retry budget; the first one is free.
      *  @return False if the budget or the route allows no further send. */
     bool acquire_send();
@@ -146,6 +152,23 @@
      *  reused. */
     void return_to_pool(const answer_parser& parser, const answer_head& head);
 
+    // Requests that another VM serves for this one.
+
+    /** @return True if this VM may reach an engine for the request. */
+    [[nodiscard]] bool reaches_engines() const;
+    /** @return True if another VM may serve the request. Each request is passed
+     *  on once at most. */
+    [[nodiscard]] bool may_relay() const;
+    /** Passes the request on to other VMs until one reaches an engine. */
+    void relay();
+    /** Passes the request on to one VM, and its answer to the client. */
+    relay_outcome relay_to(const relay_peer& peer);
+    std::string encode_for_vm() const;
+    /** Passes on another VM's answer. @return True if it is whole. */
+    bool pass_on_answer(answer_parser& parser);
+    /** Tries in the background whether an engine can be reached again. */
+    void probe_engine();
+
     // Answers and the end of the exchange.
 
     /** Logs the outcome and, if the client has no answer, sends one. */
@@ -201,10 +224,15 @@
      *  expected. */
     bool refused_by_engine_ = false;
     engine_connection_ptr engine_connection_;
+    /** No connection to the last engine that was tried could be opened. */
+    bool last_unreachable_ = false;
     server_id last_engine_;          ///< Engine of the last send.
     software_version last_software_; ///< Software of that engine.
 
-    bool is_trial_ = false; ///< Sent although it is blocked.
+    bool relayed_ = false;        ///< Another VM passed the request on.
+    bool relay_answered_ = false; ///< Another VM gave the whole answer.
+    unsigned relayed_status_ = 0; ///< HTTP status of another VM's answer.
+    bool is_trial_ = false;       ///< Sent although it is blocked.
     bool stream_started_ = false;
     /** Id of the client attempt that began the stream; empty if the client
      *  takes a stream up and doesn't name it. */
--- /dev/null
+++ b/packages/gateway/exchange_relay.cpp
@@ -0,0 +1,181 @@
+/** @file exchange_relay.cpp Requests that another VM serves for this one. */
+#include "gateway/exchange_base.hpp"
+
+#include "gateway/header_text_func.hpp"
+#include "gateway/relay_header_type.hpp"
+#include "web/fiber_scheduler_base.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/fiber/all.hpp>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+/** VMs accept a connection within one round trip. */
+constexpr auto relay_connect_timeout = milliseconds(100);
+/** VMs to which a request is passed, one after the other, until one reaches an
+ *  engine. */
+constexpr std::size_t max_relays = 3;
+/** Interval at which a VM that reaches no engine of a service tries one. */
+constexpr auto engine_probe_interval = milliseconds(500);
+constexpr auto engine_probe_timeout = milliseconds(300);
+
+} // namespace
+
+bool exchange::reaches_engines() const
+{
+    const auto engines = view_->engines.find(service_);
+    return engines == view_->engines.end() ||
+           context_.selector.reaches_any(engines->second, origin_);
+}
+
+bool exchange::may_relay() const
+{
+    return !relayed_ && !is_finished() && !stream_started_ &&
+           !refused_by_engine_ && !last_failure_answer_ && !is_trial_ &&
+           !view_->relays.empty() && send_count_ < route_->max_attempts &&
+           (!may_have_run_ || route_->repeatable());
+}
+
+void exchange::probe_engine()
+{
+    const auto engines = view_->engines.find(service_);
+    const auto now = context_.clock.now();
+    auto& next = context_.next_engine_probe[service_];
+    if (engines == view_->engines.end() || engines->second.empty() ||
+        now < next)
+        return;
+    next = now + duration(engine_probe_interval);
+    const auto number = context_.engine_probes++ % engines->second.size();
+    // The exchange may end before the probe.
+    boost::fibers::fiber(
+        boost::fibers::launch::post,
+        [&context = context_, engine = engines->second[number]] {
+            auto connection = context.connection_pool.make();
+            if (!context.connection_pool.connect(engine, connection,
+                                                 engine_probe_timeout))
+                return;
+            context.selector.record_reachable(engine.id);
+            context.connection_pool.keep(std::move(connection),
+                                         context.clock.now());
+        })
+        .detach();
+}
+
+void exchange::relay()
+{
+    std::set<vm_id> tried;
+    while (may_relay() && tried.size() < max_relays) {
+        const auto peer =
+            context_.relays.choose(view_->relays, tried, context_.clock.now());
+        if (!peer)
+            return;
+        tried.insert(peer->vm);
+        // The other VM reserves the request's tokens itself.
+        if (!may_have_run_)
+            settle();
+        const auto outcome = relay_to(*peer);
+        engine_connection_.reset();
+        context_.relays.release(*peer, outcome, context_.clock.now());
+        context_.metrics.add(counter::relays);
+        context_.log.write("request_relayed", {{"req", request_head_.id},
+                                               {"to", peer->vm.value()},
+                                               {"outcome", name_of(outcome)},
+                                               {"status", relayed_status_},
+                                               {"ms", elapsed()}});
+        if (outcome == relay_outcome::answered)
+            return;
+    }
+}
+
+std::string exchange::encode_for_vm() const
+{
+    http::request_header<> header(request_);
+    header.version(11);
+    header.erase(http::field::connection);
+    header.erase(http::field::transfer_encoding);
+    header.erase(http::field::expect);
+    header.set(http::field::connection, "close");
+    header.set(http::field::content_length,
+               std::to_string(request_.body().size()));
+    header.set(relay_sends_field, std::to_string(send_count_));
+    platform::set_deadline(
+        header, std::chrono::duration_cast<milliseconds>(time_left()));
+    return header_text(header) + request_.body();
+}
+
+relay_outcome exchange::relay_to(const relay_peer& peer)
+{
+    engine_connection_ = context_.connection_pool.make();
+    engine_info target;
+    target.address = peer.address;
+    target.port = peer.port;
+    if (!context_.connection_pool.connect(target, engine_connection_,
+                                          relay_connect_timeout))
+        return relay_outcome::unreachable;
+    if (client_.detect_close() || timed_out_)
+        return relay_outcome::unreachable;
+    const bool may_have_run_before = std::exchange(may_have_run_, true);
+    const auto text = encode_for_vm();
+    const auto sent = await_io([&](auto handler) {
+        boost::asio::async_write(engine_connection_->socket,
+                                 boost::asio::buffer(text), std::move(handler));
+    });
+    context_.link_bytes.sent += sent.bytes;
+    answer_parser parser;
+    parser.body_limit(boost::none);
+    if (request_.method() == http::verb::head)
+        parser.skip(true);
+    const auto read = await_io([&](auto handler) {
+        http::async_read_header(engine_connection_->socket,
+                                engine_connection_->buffer, parser,
+                                std::move(handler));
+    });
+    context_.link_bytes.received += read.bytes;
+    if (read.fault)
+        return relay_outcome::broken;
+    relayed_status_ = parser.get().result_int();
+    if (parser.get().find(relay_no_engine_field) != parser.get().end()) {
+        may_have_run_ = may_have_run_before;
+        return relay_outcome::no_engine;
+    }
+    return pass_on_answer(parser) ? relay_outcome::answered
+                                  : relay_outcome::broken;
+}
+
+bool exchange::pass_on_answer(answer_parser& parser)
+{
+    http::response_header<> header(parser.get());
+    header.erase(http::field::connection);
+    if (!keep_alive_)
+        header.set(http::field::connection, "close");
+    const bool chunked = parser.chunked();
+    stream_started_ = true;
+    time_to_first_byte_ = elapsed();
+    if (!client_.write(header_text(header), time_left()))
+        return false;
+    while (true) {
+        const auto body = std::exchange(parser.get().body(), {});
+        if (!body.empty() &&
+            !client_.write(chunked ? encode_chunk(body) : body, time_left()))
+            return false;
+        if (parser.is_done())
+            break;
+        if (!read_some(parser))
+            return false;
+    }
+    if (chunked && !client_.write("0\r\n\r\n", time_left()))
+        return false;
+    // Charged by the other VM, unless it refused the request.
+    relay_answered_ = true;
+    may_have_run_ = false;
+    return true;
+}
+
+} // namespace rosemarydeck
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -2,11 +2,11 @@
 #include "gateway/exchange_base.hpp"
 
 #include "gateway/header_text_func.hpp"
+#include "gateway/relay_header_type.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
-#include <sstream>
 
 namespace rosemarydeck
 {
@@ -35,13 +35,8 @@
 /** A request ends once it has tried this many engines and the last one was
  *  unreachable. */
 constexpr std::size_t max_unreachable_engines = 4;
-
-std::string encode_chunk(const std::string& bytes)
-{
-    std::ostringstream out;
-    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return out.str();
-}
+/** The same if other VMs may reach engines. */
+constexpr std::size_t max_unreachable_before_relay = 2;
 
 } // namespace
 
@@ -51,6 +46,7 @@
     last_software_ = chosen.engine.software;
     const auto result = send(chosen);
     engine_connection_.reset();
+    last_unreachable_ = result.outcome == send_outcome::unreachable;
     const auto now = context_.clock.now();
     const bool abandoned_here =
         !result.answered && (client_.closed() || timed_out_);
@@ -77,7 +73,9 @@
     }
     switch (result.outcome) {
     case send_outcome::unreachable:
-        return tried_engines_.size() < max_unreachable_engines;
+        return tried_engines_.size() < (may_relay()
+                                            ? max_unreachable_before_relay
+                                            : max_unreachable_engines);
     case send_outcome::refused:
     case send_outcome::instance_mismatch:
         refused_by_engine_ = true;
@@ -238,6 +236,8 @@
     const bool framed = !parser.need_eof();
     return_to_pool(parser, head);
     http::response_header<> header(platform::forwardable_header(parser.get()));
+    // Set by VMs only.
+    header.erase(relay_no_engine_field);
     header.version(11);
     header.result(head.status);
     header.reason(parser.get().reason());
@@ -318,6 +318,8 @@
 bool exchange::send_stream_header(const answer_parser& parser)
 {
     http::response_header<> header(platform::forwardable_header(parser.get()));
+    // Set by VMs only.
+    header.erase(relay_no_engine_field);
     header.version(11);
     header.result(parser.get().result_int());
     header.reason(parser.get().reason());
--- a/packages/gateway/gateway_metrics_base.cpp
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -40,6 +40,7 @@
         {"repeats_total", "Sends beyond a request's first."},
         {"repeats_denied_total", "Repeats that the retry budget denied."},
         {"resumes_total", "Streams continued at another engine."},
+        {"relays_total", "Requests passed on to another VM."},
         {"engine_connections_total", "Connections opened to engines."},
         {"events_forwarded_total", "Stream events passed to clients."},
         {"tokens_charged_total", "Tokens charged to customers."},
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -33,6 +33,7 @@
     retries,
     retries_denied,
     resumes,
+    relays,
     engine_connections,
     events_forwarded,
     tokens_charged,
--- a/packages/gateway/gateway_settings_type.hpp
+++ b/packages/gateway/gateway_settings_type.hpp
@@ -36,6 +36,9 @@
     /** Listening address for the load balancer's readiness checks. */
     endpoint ready;
     endpoint control; ///< Listening address for other VMs of the fleet.
+    /** Listening address for requests that other VMs pass on; port 0 if there
+     *  is none. */
+    endpoint relay;
     std::vector<endpoint> seeds; ///< Control addresses of some other VMs.
     endpoint store;              ///< The platform's store.
     /** Writes per second that the store accepts from all VMs together. */
--- a/packages/gateway/header_text_func.hpp
+++ b/packages/gateway/header_text_func.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/beast/http/message.hpp>
+#include <sstream>
 #include <string>
 
 namespace rosemarydeck
@@ -43,4 +44,12 @@
     return text;
 }
 
+/** @return Bytes as one chunk of a chunked body. */
+inline std::string encode_chunk(const std::string& bytes)
+{
+    std::ostringstream out;
+    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return out.str();
+}
+
 } // namespace rosemarydeck
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -10,6 +10,7 @@
 #include "router/crash_record_base.hpp"
 #include "router/engine_selector_base.hpp"
 #include "router/link_load_base.hpp"
+#include "router/relay_selector_base.hpp"
 #include "router/retry_budget_base.hpp"
 #include "router/stream_registry_base.hpp"
 
@@ -71,6 +72,10 @@
     engine_selector selector{};
     retry_budget retries{settings.retries};
     engine_connection_pool connection_pool{io};
+    relay_selector relays{};
+    /** When an engine of a service is next probed while none is reached. */
+    std::map<service_id, time_point> next_engine_probe{};
+    std::size_t engine_probes = 0; ///< Probes so far; chooses the engine.
     /** Trials that this VM has sent and its view doesn't know of yet. */
     std::set<trait_combination> used_trials{};
     bool draining = false; ///< Answers close their connections.
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -46,6 +46,13 @@
     auto port = listen_on(acceptor_, context_.settings.callers);
     if (!port)
         return port;
+    const auto& relay = context_.settings.relay;
+    if (relay.port != 0) {
+        const auto opened = listen_on(relay_acceptor_, relay);
+        if (!opened)
+            context_.log.write("relay_port_unavailable",
+                               {{"why", describe(opened.error())}});
+    }
     thread_ = std::thread([this] { run(); });
     thread_.detach(); // Ends with the process.
     return port;
@@ -56,34 +63,39 @@
     boost::fibers::use_scheduling_algorithm<fiber_scheduler>(io_);
     run_housekeeping();
     watch_link();
-    accept_clients();
+    boost::fibers::fiber(boost::fibers::launch::post, [this] {
+        accept_clients(relay_acceptor_, true);
+    }).detach();
+    accept_clients(acceptor_, false);
+    // Keeps the thread alive: its fibers still serve the open connections.
+    while (true)
+        fiber_sleep(io_, std::chrono::hours(1));
 }
 
-void traffic_service::accept_clients()
+void traffic_service::accept_clients(boost::asio::ip::tcp::acceptor& acceptor,
+                                     bool from_vms)
 {
-    while (acceptor_.is_open()) {
+    while (acceptor.is_open()) {
         boost::asio::ip::tcp::socket socket(io_);
         const auto done = await_io([&](auto handler) {
-            acceptor_.async_accept(socket, std::move(handler));
+            acceptor.async_accept(socket, std::move(handler));
         });
         if (!done.fault) {
-            start_connection(std::move(socket));
+            start_connection(std::move(socket), from_vms);
             continue;
         }
-        if (acceptor_.is_open())
+        if (acceptor.is_open())
             context_.log.write("accept_failed",
                                {{"why", done.fault.message()}});
         fiber_sleep(io_, accept_backoff);
     }
-    // Keeps the thread alive: its fibers still serve the open connections.
-    while (true)
-        fiber_sleep(io_, std::chrono::hours(1));
 }
 
-void traffic_service::start_connection(boost::asio::ip::tcp::socket socket)
+void traffic_service::start_connection(boost::asio::ip::tcp::socket socket,
+                                       bool from_vm)
 {
-    auto serve_client = [this, socket = std::move(socket)]() mutable {
-        client_connection connection(context_, std::move(socket));
+    auto serve_client = [this, from_vm, socket = std::move(socket)]() mutable {
+        client_connection connection(context_, std::move(socket), from_vm);
         connections_.insert(&connection);
         connection.run();
         connections_.erase(&connection);
@@ -144,6 +156,7 @@
     boost::asio::post(io_, [this] {
         boost::system::error_code ignored;
         acceptor_.close(ignored);
+        relay_acceptor_.close(ignored);
         for (auto* connection : connections_)
             connection->close_if_idle();
     });
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -52,9 +52,11 @@
 
 private:
     void run();
-    void accept_clients();
+    /** @param from_vms Serves requests that other VMs pass on. */
+    void accept_clients(boost::asio::ip::tcp::acceptor& acceptor,
+                        bool from_vms);
     /** Starts a fiber that serves one connection. */
-    void start_connection(boost::asio::ip::tcp::socket socket);
+    void start_connection(boost::asio::ip::tcp::socket socket, bool from_vm);
     /** Updates open_requests() and closes stale engine connections. Runs
      *  periodically, and more often during a drain. */
     void run_housekeeping();
@@ -63,6 +65,7 @@
 
     boost::asio::io_context io_{1};
     boost::asio::ip::tcp::acceptor acceptor_{io_};
+    boost::asio::ip::tcp::acceptor relay_acceptor_{io_};
     boost::asio::steady_timer housekeeping_timer_{io_};
     boost::asio::steady_timer link_timer_{io_};
     traffic_context context_;
--- a/packages/router/engine_selector_base.cpp
+++ b/packages/router/engine_selector_base.cpp
@@ -149,6 +149,8 @@
     known.open_work =
         std::max<token_count>(0, known.open_work - weighted_tokens(request));
     record_connectivity(known.data_centre, engine, outcome, now);
+    if (outcome != send_outcome::abandoned && outcome != send_outcome::broken)
+        known.unreachable = outcome == send_outcome::unreachable;
     switch (outcome) {
     case send_outcome::served:
         known.failures = 0;
@@ -173,6 +175,32 @@
     }
 }
 
+void engine_selector::record_reachable(const server_id& engine)
+{
+    const auto found = records_.find(engine);
+    if (found == records_.end())
+        return;
+    found->second.unreachable = false;
+    found->second.retry_at = {};
+    connectivity_[found->second.data_centre].unreachable.clear();
+}
+
+bool engine_selector::reaches_any(
+    std::span<const engine_info> engines,
+    const std::optional<stream_origin>& origin) const
+{
+    bool any = false;
+    for (const auto& engine : engines) {
+        if (origin && !origin->matches(engine))
+            continue;
+        any = true;
+        const auto* known = find(engine.id);
+        if (known == nullptr || !known->unreachable)
+            return true;
+    }
+    return !any;
+}
+
 bool engine_selector::is_unreachable(const dc_id& centre, time_point now) const
 {
     const auto found = connectivity_.find(centre);
--- a/packages/router/engine_selector_base.hpp
+++ b/packages/router/engine_selector_base.hpp
@@ -4,6 +4,7 @@
 #include "common/time_type.hpp"
 #include "router/fleet_type.hpp"
 #include "router/request_pace_base.hpp"
+#include "router/stream_origin_type.hpp"
 
 #include <set>
 #include <span>
@@ -134,6 +135,15 @@
     [[nodiscard]] std::optional<time_point>
     rest_end(std::span<const engine_info> engines, time_point now) const;
 
+    /** Records that a connection to an engine could be opened. */
+    void record_reachable(const server_id& engine);
+    /** @param origin If set, only engines that match it count.
+     *  @return False if no connection to any of the engines could be opened
+     *  when it was last tried; true if there are no engines. */
+    [[nodiscard]] bool
+    reaches_any(std::span<const engine_info> engines,
+                const std::optional<stream_origin>& origin) const;
+
     /** @return Number of requests that this VM has open at an engine. */
     [[nodiscard]] std::uint32_t open_at(const server_id& engine) const;
 
@@ -144,6 +154,7 @@
         token_count open_work = 0;  ///< Weighted tokens of the open requests.
         std::uint32_t failures = 0; ///< Consecutive failures.
         time_point retry_at{};      ///< End of the back-off.
+        bool unreachable = false;   ///< The last connection failed.
         time_point rest_until{};    ///< End of the rest that it asked for.
         dc_id data_centre;
     };
--- a/packages/router/fleet_presence_base.hpp
+++ b/packages/router/fleet_presence_base.hpp
@@ -20,7 +20,9 @@
     dc_id data_centre;
     std::string address;    ///< IP address for other VMs.
     std::uint16_t port = 0; ///< Port for other VMs; 0 if there is none.
-    double cores = 1;       ///< Processor cores that the VM may use.
+    /** Port for requests that other VMs pass on; 0 if there is none. */
+    std::uint16_t relay_port = 0;
+    double cores = 1; ///< Processor cores that the VM may use.
     /** The VM has told the load balancer not to send new clients. */
     bool out_of_rotation = false;
 
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -210,6 +210,17 @@
     bool operator==(const engine_notice&) const = default;
 };
 
+/** Another VM, which may serve requests for this one. */
+struct relay_peer
+{
+    vm_id vm;
+    dc_id data_centre;
+    std::string address; ///< IP address.
+    std::uint16_t port = 0;
+
+    bool operator==(const relay_peer&) const = default;
+};
+
 /** Snapshot of the configuration and the fleet for the traffic threads.
  *  Immutable. */
 struct fleet_view
@@ -220,6 +231,8 @@
     std::uint32_t live_vms = 0;
     /** Position of this VM among them by name, from 0. */
     std::uint32_t vm_rank = 0;
+    /** Running VMs that take requests for others; without this one. */
+    std::vector<relay_peer> relays;
     /** Latest notices, by incarnation of the engine. */
     std::map<server_id, engine_notice> notices;
     /** Requests with all traits of a combination crash engines and are refused.
--- a/packages/router/router_json_func.cpp
+++ b/packages/router/router_json_func.cpp
@@ -9,7 +9,7 @@
 
 // Fields may be missing, so that VMs that run other versions count too.
 ROSEMARYDECK_JSON_WITH_DEFAULT(vm_presence, run, beat, data_centre, address,
-                               port, cores, out_of_rotation)
+                               port, relay_port, cores, out_of_rotation)
 
 void to_json(nlohmann::json& json, const engine_notice& value)
 {
--- /dev/null
+++ b/packages/router/test/relay_test.cpp
@@ -0,0 +1,92 @@
+/** @file relay_test.cpp Tests of the choice of another VM. */
+#include "router/relay_selector_base.hpp"
+#include "router_samples.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarydeck;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::vector<relay_peer> peers(int centres, int vms)
+{
+    std::vector<relay_peer> made;
+    for (int centre = 0; centre < centres; ++centre)
+        for (int vm = 0; vm < vms; ++vm) {
+            const auto dc = "dc" + std::to_string(centre);
+            made.push_back({vm_id(dc + "-" + std::to_string(vm)), dc_id(dc),
+                            "10.0.0.1", 80});
+        }
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("Requests for other VMs are spread over all of them", "[relay]")
+{
+    const auto all = peers(3, 4);
+    relay_selector selector;
+    std::map<vm_id, int> counts;
+    for (int number = 0; number < 120; ++number)
+        ++counts[selector.choose(all, {}, at(0ms))->vm];
+    for (const auto& [vm, count] : counts)
+        CHECK(count == 10);
+    CHECK(counts.size() == 12);
+}
+
+TEST_CASE("While a whole data centre is cut off, requests go to the others",
+          "[relay]")
+{
+    const auto all = peers(2, 8);
+    relay_selector selector;
+    int wasted = 0;
+    for (int number = 0; number < 200; ++number) {
+        const auto now = at(milliseconds(number * 10));
+        std::set<vm_id> tried;
+        while (const auto peer = selector.choose(all, tried, now)) {
+            tried.insert(peer->vm);
+            const bool cut = peer->data_centre == dc_id("dc0");
+            selector.release(
+                *peer, cut ? relay_outcome::no_engine : relay_outcome::answered,
+                now);
+            if (!cut)
+                break;
+            ++wasted;
+        }
+    }
+    CHECK(wasted <= 8);
+}
+
+TEST_CASE("While no VM reaches an engine, few requests are passed on",
+          "[relay]")
+{
+    const auto all = peers(2, 4);
+    relay_selector selector;
+    int sent = 0;
+    for (int number = 0; number < 100; ++number)
+        while (const auto peer = selector.choose(all, {}, at(10ms * number))) {
+            selector.release(*peer, relay_outcome::no_engine,
+                             at(10ms * number));
+            ++sent;
+        }
+    CHECK(sent <= 16);
+}
+
+TEST_CASE("A VM reaches no engine once no connection could be opened",
+          "[relay]")
+{
+    const auto all = engines(3);
+    engine_selector selector;
+    for (const auto& one : all) {
+        CHECK(selector.reaches_any(all, std::nullopt));
+        selector.release(one.id, prompt("a"), send_outcome::unreachable,
+                         at(0ms));
+    }
+    CHECK_FALSE(selector.reaches_any(all, std::nullopt));
+    selector.record_reachable(all[1].id);
+    CHECK(selector.reaches_any(all, std::nullopt));
+    // Without engines there is no cut.
+    CHECK(selector.reaches_any({}, std::nullopt));
+}
