Don't take a cut of this VM's links for crashes of engines

Cause: a broken request whose engine refuses a further connection was filed as a crash. At a cut that holds for every request; three engines with a common prompt part block it on the whole fleet. Change: such a request counts only if another engine of the same data centre can be reached at that moment; engine_down tells (cut_off). Why it works: a cut concerns all engines of a data centre, a crash one.

--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -117,10 +117,14 @@
     bool try_engine(const placement& chosen);
     /** Reports a crash if the engine no longer accepts connections. */
     void report_if_crashed(const placement& chosen);
+    /** @return True if other engines of the data centre can't be reached
+     *  either, so that the engine has probably not crashed. */
+    bool is_cut_off_from(const engine_info& engine);
     /** @param probe Why the engine's port could not be opened.
-     *  @param broken_at When the send failed. */
+     *  @param broken_at When the send failed.
+     *  @param cut_off This VM reaches no other engine there either. */
     void log_engine_down(const placement& chosen, const error& probe,
-                         time_point broken_at);
+                         time_point broken_at, bool cut_off);
     /** @return True if the engine has been answering for so long that the
      *  request is not what crashes it. */
     [[nodiscard]] bool outlasted_start(time_point now) const;
--- a/packages/gateway/exchange_engine_state.cpp
+++ b/packages/gateway/exchange_engine_state.cpp
@@ -2,6 +2,7 @@
  */
 #include "gateway/exchange_base.hpp"
 
+#include "common/hash_func.hpp"
 #include "router/request_trait_func.hpp"
 
 #include <algorithm>
@@ -15,6 +16,9 @@
 /** Connect time-out of the probe that tells a crashed engine from a lost
  *  connection. Covers a few round trips. */
 constexpr auto crash_probe_timeout = milliseconds(100);
+/** Other engines of the data centre that are probed, one after the other, to
+ *  tell a crash from a cut of this VM's links. */
+constexpr std::size_t max_cut_probes = 3;
 /** A request that crashes engines does so when its answer begins. A stream that
  *  lasted longer is not the cause. */
 constexpr auto max_time_to_crash = milliseconds(1'000);
@@ -81,12 +85,36 @@
         context_.connection_pool.keep(std::move(probe), context_.clock.now());
         return;
     }
-    log_engine_down(chosen, opened.error(), broken_at);
-    if (!outlasted_start(broken_at))
+    const bool cut_off = is_cut_off_from(chosen.engine);
+    log_engine_down(chosen, opened.error(), broken_at, cut_off);
+    if (!cut_off && !outlasted_start(broken_at))
         context_.control.report_crash(
             {traits(), chosen.engine.incarnation(), sent_at_});
 }
 
+bool exchange::is_cut_off_from(const engine_info& engine)
+{
+    std::vector<engine_info> others;
+    for (const auto& [service, engines] : view_->engines)
+        for (const auto& one : engines)
+            if (one.data_centre == engine.data_centre && one.id != engine.id)
+                others.push_back(one);
+    if (others.empty())
+        return false;
+    const auto first = stable_hash(request_head_.id) % others.size();
+    for (std::size_t at = 0; at < std::min(others.size(), max_cut_probes);
+         ++at) {
+        const auto& other = others[(first + at) % others.size()];
+        auto probe = context_.connection_pool.make();
+        if (!context_.connection_pool.connect(other, probe,
+                                              crash_probe_timeout))
+            continue;
+        context_.connection_pool.keep(std::move(probe), context_.clock.now());
+        return false;
+    }
+    return true;
+}
+
 bool exchange::outlasted_start(time_point now) const
 {
     return answer_began_at_ && route_->repeat == repeat_rule::stream &&
@@ -94,7 +122,7 @@
 }
 
 void exchange::log_engine_down(const placement& chosen, const error& probe,
-                               time_point broken_at)
+                               time_point broken_at, bool cut_off)
 {
     std::string parts;
     for (const auto& part : request_head_.prompt)
@@ -106,6 +134,7 @@
          {"parts", parts},
          {"engine", chosen.engine.id.value()},
          {"probe", probe.text},
+         {"cut_off", cut_off ? 1 : 0},
          {"sent_before_ms", broken_at - sent_at_},
          {"answered_before_ms",
           answer_began_at_ ? broken_at - *answer_began_at_ : duration(-1)}});
