--- a/packages/web/test/web_test.cpp
+++ b/packages/web/test/web_test.cpp
@@ -5,10 +5,12 @@
 #include "web/fiber_slot_base.hpp"
 #include "web/http_client_base.hpp"
 #include "web/reply_func.hpp"
+#include "web/socket_option_func.hpp"
 #include "web/sse_func.hpp"
 
 #include <boost/fiber/all.hpp>
 #include <catch2/catch.hpp>
+#include <netinet/tcp.h>
 #include <thread>
 
 using namespace rosemarydeck;
@@ -150,3 +152,28 @@
     CHECK(connect_timeout_for(20s) == 600ms);
     CHECK(connect_timeout_for(250ms) == 250ms);
 }
+
+TEST_CASE("a peer that is silent for a second and a half is not taken for dead",
+          "[socket]")
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io, boost::asio::ip::tcp::v4());
+    for (const int timeout_s : {3, 5}) {
+        enable_dead_peer_detection(socket, std::chrono::seconds(timeout_s));
+        const auto option = [&](int name) {
+            int value = 0;
+            socklen_t size = sizeof(value);
+            REQUIRE(getsockopt(socket.native_handle(), IPPROTO_TCP, name,
+                               &value, &size) == 0);
+            return value;
+        };
+        // The user time-out decides when probes give up, whatever their count.
+        CHECK(option(TCP_USER_TIMEOUT) == timeout_s * 1'000);
+        CHECK(option(TCP_USER_TIMEOUT) >= 1'500 + 1'000 * option(TCP_KEEPIDLE));
+        CHECK(option(TCP_KEEPIDLE) + option(TCP_KEEPINTVL) >= 2);
+        // Without it the count decides no sooner.
+        CHECK(option(TCP_KEEPIDLE) +
+                  option(TCP_KEEPINTVL) * option(TCP_KEEPCNT) >=
+              timeout_s);
+    }
+}
