Don't push over engines that say they are brittle

Change: while an engine is brittle the open requests of each VM keep to its part of the slots; a rejection lets the engine rest for as long as the sum of all VMs needs to stay within three quarters of what is borne.

--- a/packages/gateway/exchange_engine_state.cpp
+++ b/packages/gateway/exchange_engine_state.cpp
@@ -157,6 +157,9 @@
                             {"born", chosen.engine.started_at_ms}});
     }
     record_engine_limit(chosen, head);
+    if (head.bearable_rejections || (head.sealed && head.status < 300))
+        context_.selector.record_brittle(
+            chosen.engine, head.bearable_rejections, head.not_executed, now);
     if (head.rest_time) {
         context_.selector.record_rest(chosen.engine.id, now + *head.rest_time);
         context_.log.write("engine_rests",
--- a/packages/router/engine_selector_base.cpp
+++ b/packages/router/engine_selector_base.cpp
@@ -244,7 +244,8 @@
 bool engine_selector::takes_requests(const engine_info& engine,
                                      time_point now) const
 {
-    return !is_leaving(engine) && available_from(engine, now) <= now;
+    return !is_leaving(engine) && available_from(engine, now) <= now &&
+           !is_part_used(engine);
 }
 
 std::optional<engine_notice>
--- a/packages/router/engine_selector_base.hpp
+++ b/packages/router/engine_selector_base.hpp
@@ -43,6 +43,13 @@
     std::uint32_t unknown_fleet_vms = 1'000;
     /** Relative change from which on a limit counts as a new one. */
     double min_limit_change = 0.1;
+    /** Part of the rejections that a brittle engine bears which the VMs may
+     *  cause. */
+    double max_rejection_share = 0.75;
+    /** Minimum and maximum rest of a brittle engine that turned a request of
+     *  this VM away. */
+    duration min_brittle_rest = milliseconds(1'100);
+    duration max_brittle_rest = milliseconds(10'000);
     /** Time for which an engine's departure is remembered. Far longer than any
      *  engine takes to leave. */
     duration departure_ttl = milliseconds(600'000);
@@ -124,6 +131,16 @@
     std::optional<engine_notice> record_limit(const engine_info& engine,
                                               std::optional<double> limit_per_s,
                                               time_point sent, time_point now);
+    /**
+     * Records whether an engine is brittle. While it is, the open requests of
+     * all VMs together keep to its slots, so that it has room for them; if it
+     * turns one away all the same it rests here.
+     * @param bearable Rejections a second that it bears, if it is brittle.
+     * @param refused It turned a request away.
+     */
+    void record_brittle(const engine_info& engine,
+                        std::optional<double> bearable, bool refused,
+                        time_point now);
     /** Takes over the limits and the number of VMs of a view. Drops the records
      *  of engines that it doesn't list and that have no open requests, and old
      *  records of leaving engines. */
@@ -154,6 +171,7 @@
         token_count open_work = 0;  ///< Weighted tokens of the open requests.
         std::uint32_t failures = 0; ///< Consecutive failures.
         time_point retry_at{};      ///< End of the back-off.
+        bool brittle = false;       ///< See record_brittle().
         bool unreachable = false;   ///< The last connection failed.
         time_point rest_until{};    ///< End of the rest that it asked for.
         dc_id data_centre;
@@ -194,6 +212,13 @@
     /** @return When the engine takes requests; now or earlier if it does. */
     [[nodiscard]] time_point available_from(const engine_info& engine,
                                             time_point now) const;
+    /** @return Number of VMs by which limits are divided. */
+    [[nodiscard]] std::uint32_t divisor() const
+    {
+        return live_vms_ == 0 ? options_.unknown_fleet_vms : live_vms_;
+    }
+    /** @return True if this VM's part of a brittle engine's slots is used. */
+    [[nodiscard]] bool is_part_used(const engine_info& engine) const;
     /** @return True if the engine neither leaves nor rests, and its limit
      * allows this VM a request. */
     [[nodiscard]] bool takes_requests(const engine_info& engine,
--- a/packages/router/engine_selector_notice.cpp
+++ b/packages/router/engine_selector_notice.cpp
@@ -3,6 +3,7 @@
 #include "router/engine_notice_base.hpp"
 #include "router/engine_selector_base.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace rosemarydeck
@@ -32,6 +33,31 @@
     return notice;
 }
 
+void engine_selector::record_brittle(const engine_info& engine,
+                                     std::optional<double> bearable,
+                                     bool refused, time_point now)
+{
+    if (!bearable && find(engine.id) == nullptr)
+        return;
+    records_[engine.id].brittle = bearable.has_value();
+    if (!bearable || !refused)
+        return;
+    // This VM's part of the rejections that the engine bears in a second.
+    const auto seconds =
+        divisor() / std::max(options_.max_rejection_share * *bearable, 0.1);
+    const auto rest = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+    record_rest(engine.id, now + std::clamp(rest, options_.min_brittle_rest,
+                                            options_.max_brittle_rest));
+}
+
+bool engine_selector::is_part_used(const engine_info& engine) const
+{
+    const auto* known = find(engine.id);
+    return known != nullptr && known->brittle &&
+           known->open >= std::max(1U, engine.slots / divisor());
+}
+
 void engine_selector::update_notice(const server_id& incarnation,
                                     const engine_notice& notice, time_point now)
 {
@@ -52,10 +78,9 @@
 {
     if (!limit.notice.limit_per_s)
         return limit.pace.reset();
-    const pace_options options{
-        .limit_per_s = *limit.notice.limit_per_s,
-        .vms = live_vms_ == 0 ? options_.unknown_fleet_vms : live_vms_,
-        .rank = vm_rank_};
+    const pace_options options{.limit_per_s = *limit.notice.limit_per_s,
+                               .vms = divisor(),
+                               .rank = vm_rank_};
     if (!limit.pace || limit.pace->options() != options)
         limit.pace.emplace(options, now);
 }
--- a/packages/router/request_type.hpp
+++ b/packages/router/request_type.hpp
@@ -88,6 +88,9 @@
     std::optional<milliseconds> rest_time;
     /** Requests a second that the engine takes from all VMs together. */
     std::optional<double> request_limit;
+    /** Set if the engine falls over once it has to turn away more than this
+     * many requests in a second, of all VMs together. */
+    std::optional<double> bearable_rejections;
     /** How long the engine keeps the connection open while it is idle. */
     std::optional<std::chrono::seconds> idle_timeout;
 };
--- a/packages/router/test/request_limit_test.cpp
+++ b/packages/router/test/request_limit_test.cpp
@@ -286,3 +286,43 @@
             .get<vm_report>(),
         nlohmann::json::exception);
 }
+
+TEST_CASE("All VMs together turn to a brittle engine with its slots only",
+          "[limit]")
+{
+    for (const std::uint32_t vms : {1U, 8U, 61U, 295U}) {
+        auto one = engine("e0");
+        one.slots = 64;
+        const std::vector all{one};
+        std::uint32_t open = 0;
+        double rejections_per_s = 0;
+        for (std::uint32_t rank = 0; rank < vms; ++rank) {
+            engine_selector selector;
+            fleet_view view;
+            view.live_vms = vms;
+            view.vm_rank = rank;
+            view.engines[models] = all;
+            selector.apply_view(view, at(0ms));
+            selector.place(prompt("a"), all, {}, at(0ms));
+            selector.record_brittle(one, 5.0, false, at(0ms));
+            while (selector.place(prompt("a"), all, {}, at(0ms)))
+                ;
+            open += selector.open_at(one.id);
+            // Each further request is turned away.
+            for (std::uint32_t end = selector.open_at(one.id); end > 0; --end)
+                selector.release(one.id, prompt("a"), send_outcome::served,
+                                 at(0ms));
+            for (auto now = at(0ms); now < at(60s); now += 100ms)
+                if (selector.place(prompt("a"), all, {}, now)) {
+                    selector.record_brittle(one, 5.0, true, now);
+                    selector.release(one.id, prompt("a"), send_outcome::refused,
+                                     now);
+                    rejections_per_s += 1 / 60.0;
+                }
+        }
+        CHECK(open <= std::max(64U, vms));
+        // The longest rest, 10 s, is too short for more than 50 VMs.
+        if (vms <= 8)
+            CHECK(rejections_per_s <= 5);
+    }
+}
