Reserve tokens again for a request that no other VM took

A customer's request could be served without being charged. Cause: a VM that reaches no engine releases the reservation before it passes a request on, since the other VM reserves too. If none took the request and the cut had just ended, it was served here without a reservation. A request that may have run here and was refused by the other VM was not charged either. Change: the tokens are reserved again before engines are tried; a refusal by the other VM leaves the charge here.

--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -142,24 +142,6 @@
     return false;
 }
 
-service_id exchange::choose_service() const
-{
-    std::uint64_t total = 0;
-    for (const auto& backend : route_->backends)
-        total += backend.weight;
-    if (total == 0)
-        return route_->backends.front().service;
-    // A stream that is taken up belongs to the service that began it.
-    const auto& key = stream_.empty() ? request_head_.id : stream_.value();
-    auto point = stable_hash(key) % total;
-    for (const auto& backend : route_->backends) {
-        if (point < backend.weight)
-            return backend.service;
-        point -= backend.weight;
-    }
-    return route_->backends.back().service;
-}
-
 bool exchange::reserve()
 {
     if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt)
@@ -215,22 +197,6 @@
     return reserved;
 }
 
-void exchange::serve()
-{
-    // The budget may have been waited for.
-    view_ = context_.view;
-    const bool cut_off = !relayed_ && !reaches_engines();
-    if (cut_off) {
-        probe_engine();
-        relay();
-    }
-    if (relay_answered_ || (cut_off && may_have_run_))
-        return;
-    try_engines();
-    if (!cut_off && last_unreachable_)
-        relay();
-}
-
 void exchange::try_engines()
 {
     while (!is_finished() && (is_trial_ || !is_blocked())) {
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -163,6 +163,9 @@
     /** @return True if another VM may serve the request. Each request is passed
      *  on once at most. */
     [[nodiscard]] bool may_relay() const;
+    /** Reserves again what was released for another VM to reserve.
+     *  @return False if headroom is short. */
+    bool restore_reservation();
     /** Passes the request on to other VMs until one reaches an engine. */
     void relay();
     /** Passes the request on to one VM, and its answer to the client. */
--- a/packages/gateway/exchange_relay.cpp
+++ b/packages/gateway/exchange_relay.cpp
@@ -28,6 +28,31 @@
 
 } // namespace
 
+void exchange::serve()
+{
+    // The budget may have been waited for.
+    view_ = context_.view;
+    const bool cut_off = !relayed_ && !reaches_engines();
+    if (cut_off) {
+        probe_engine();
+        relay();
+        // The cut may have ended meanwhile.
+        if (relay_answered_ || may_have_run_ || !restore_reservation())
+            return;
+    }
+    try_engines();
+    if (!cut_off && last_unreachable_)
+        relay();
+}
+
+bool exchange::restore_reservation()
+{
+    if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt ||
+        reserved_tokens_ > 0)
+        return true;
+    return try_reserve(request_head_.max_charge());
+}
+
 bool exchange::reaches_engines() const
 {
     const auto engines = view_->engines.find(service_);
@@ -145,8 +170,11 @@
         may_have_run_ = may_have_run_before;
         return relay_outcome::no_engine;
     }
-    return pass_on_answer(parser) ? relay_outcome::answered
-                                  : relay_outcome::broken;
+    if (!pass_on_answer(parser))
+        return relay_outcome::broken;
+    // A success is charged by the other VM.
+    may_have_run_ = may_have_run_before && relayed_status_ >= 300;
+    return relay_outcome::answered;
 }
 
 bool exchange::pass_on_answer(answer_parser& parser)
@@ -172,9 +200,7 @@
     }
     if (chunked && !client_.write("0\r\n\r\n", time_left()))
         return false;
-    // Charged by the other VM, unless it refused the request.
     relay_answered_ = true;
-    may_have_run_ = false;
     return true;
 }
 
--- a/packages/gateway/exchange_stream.cpp
+++ b/packages/gateway/exchange_stream.cpp
@@ -1,6 +1,7 @@
 /** @file exchange_stream.cpp At which engines a stream may begin or go on. */
 #include "gateway/exchange_base.hpp"
 
+#include "common/hash_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
 #include <algorithm>
@@ -21,6 +22,24 @@
 
 } // namespace
 
+service_id exchange::choose_service() const
+{
+    std::uint64_t total = 0;
+    for (const auto& backend : route_->backends)
+        total += backend.weight;
+    if (total == 0)
+        return route_->backends.front().service;
+    // A stream that is taken up belongs to the service that began it.
+    const auto& key = stream_.empty() ? request_head_.id : stream_.value();
+    auto point = stable_hash(key) % total;
+    for (const auto& backend : route_->backends) {
+        if (point < backend.weight)
+            return backend.service;
+        point -= backend.weight;
+    }
+    return route_->backends.back().service;
+}
+
 bool exchange::find_stream_origin()
 {
     if (route_->repeat != repeat_rule::stream || initial_event_id_ == 0)
--- a/tests/daemons/gateway_relay_test.py
+++ b/tests/daemons/gateway_relay_test.py
@@ -166,6 +166,24 @@
         # Three events of three tokens.
         self.assertEqual(self.spent(), 1009)
 
+    def test_request_that_no_other_vm_took_is_charged_here(self):
+        """It is served here after all, since the cut has just ended."""
+        self.start_two_vms()
+        self.cut()
+        for number in range(4):
+            self.client().chat(tokens="1000,9").read()
+        self.vms[1]["process"].kill()
+        time.sleep(2.5)
+        before = self.spent()
+        for link in self.links:
+            link.open_port()
+        replies = [self.client().chat(tokens="1000,9") for _ in range(3)]
+        self.assertEqual([reply.status for reply in replies], [200] * 3)
+        for reply in replies:
+            reply.read()
+        time.sleep(2.5)
+        self.assertEqual(self.spent() - before, 3 * 1009)
+
     def test_take_up_through_another_vm_goes_on_after_its_last_event(self):
         self.start_two_vms()
         self.stream = self.hold_stream
--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -191,6 +191,12 @@
             self.listener.listen(0)
             self.queued = socket.create_connection(("127.0.0.1", self.port))
 
+    def open_port(self):
+        """Accepts connections again."""
+        self.listener.listen()
+        self.accepting = threading.Thread(target=self.accept, daemon=True)
+        self.accepting.start()
+
     def reset_connections(self):
         for one in self.sockets:
             with contextlib.suppress(OSError):
