Fetch prompts only from engines of the same software version

Cause: looked for elsewhere after ORDER: an overloaded home's cached prompt was fetched by an engine of another version, though what two versions make doesn't fit together. Change: the prompt is computed again instead. Measured: the new test of placement_test failed before and passes.

--- a/packages/router/engine_selector_base.cpp
+++ b/packages/router/engine_selector_base.cpp
@@ -124,7 +124,8 @@
         const auto load = known == nullptr ? 0 : known->open_work;
         if (static_cast<double>(load) <= max_home_work)
             pick = home;
-        else if (request.shared >= options_.min_fetch_tokens)
+        else if (request.shared >= options_.min_fetch_tokens &&
+                 home->software == pick->software)
             chosen.fetch_from = *home;
     }
     const auto limit = limits_.find(pick->incarnation());
--- a/packages/router/test/placement_test.cpp
+++ b/packages/router/test/placement_test.cpp
@@ -37,6 +37,20 @@
     CHECK(elsewhere->fetch_from->id == home);
 }
 
+TEST_CASE("A prompt is not fetched from another software version",
+          "[placement]")
+{
+    auto all = engines(2);
+    all[0].software = software_version("v1");
+    all[1].software = software_version("v2");
+    engine_selector selector;
+    for (int number = 0; number < 20; ++number)
+        CHECK_FALSE(
+            selector.place(prompt("hot"), all, {}, at(0ms))->fetch_from);
+    CHECK(selector.open_at(all[0].id) > 0);
+    CHECK(selector.open_at(all[1].id) > 0);
+}
+
 TEST_CASE("Few shared tokens are computed again rather than fetched",
           "[placement]")
 {
