End all routers of a test, and finish a cut before requests are sent

It also explains the 38 requests of test_departure_that_another_vm_was_told_is_known, which blamed on a cut link's port. test_clients_of_a_vm_that_reaches_no_engine_are_served got 502 for an order: the router's log shows it sent on an idle connection to plain-1 that broke 1 ms later. cut() had returned while threads of the stand-in still held the sockets, so the reset came after. An order whose bytes were sent may not be called not run: the 502 is right, the cut was not complete. Change: the harness ends every process that a test started, and this test its second router first; a cut waits for the threads. No check changes; no product code changes. Measured: gateway_relay_test.py passes twice, no router is left afterwards; 80 routers of earlier runs were ended by their ids.

--- a/tests/daemons/gateway_harness.py
+++ b/tests/daemons/gateway_harness.py
@@ -81,6 +81,7 @@
         self.folder = tempfile.mkdtemp(prefix="rosemarydeck-gateway-")
         self.store = Store()
         self.process = None
+        self.processes = []  # All that were started.
         self.start_count = 0
         self.writes_per_s = 400
         self.link_mbps, self.contact_ms = 1000, 3000
@@ -88,9 +89,11 @@
         self.store_port = self.store.port
 
     def tearDown(self):
-        if self.process and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
+        # A router that outlives its test calls the ports of later ones.
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         if self.process:
             self.log.close()
         self.store.server.shutdown()
@@ -128,6 +131,7 @@
              "--metrics-port", "0"],
             env={**os.environ, "ROSEMARYDECK_CONFIG": str(path)},
             stdout=self.log, stderr=self.log)
+        self.processes.append(self.process)
         ports = fleet.wait_until(
             lambda: self.log_match(r"event=listening callers=(\d+) "
                                    r"ready=(\d+) metrics=(\d+)"), 20,
--- a/tests/daemons/gateway_relay_test.py
+++ b/tests/daemons/gateway_relay_test.py
@@ -1,5 +1,6 @@
 """The router of the users' platform: a VM that reaches no engine."""
 
+import contextlib
 import http.client
 import threading
 import time
@@ -13,6 +14,15 @@
 class GatewayRelayTest(GatewayTestCase):
     """vm-a has links to the engines that are cut; vm-b reaches them."""
 
+    def setUp(self):
+        super().setUp()
+        self.second = contextlib.ExitStack()
+
+    def tearDown(self):
+        # Before the harness ends the first VM, which is current again then.
+        self.second.close()
+        super().tearDown()
+
     @staticmethod
     def complete_stream(request):
         after = int(request.headers.get("Last-Event-Id", 0))
@@ -53,7 +63,7 @@
         self.peer_port, self.relay_port = free_port(), free_port()
         self.start_router()
         fleet.wait_until(self.is_ready, 20, "the router to be ready")
-        self.vms = self.enterContext(self.second_vm("vm-b"))
+        self.vms = self.second.enter_context(self.second_vm("vm-b"))
         for vm in self.vms:
             self.log_path = vm["log_path"]
             fleet.wait_until(lambda: self.log_match("event=fleet_size vms=2"),
--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -153,6 +153,7 @@
     def __init__(self, engine_port):
         self.engine_port = engine_port
         self.sockets = []
+        self.forwarding = []
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
         self.accepting = threading.Thread(target=self.accept, daemon=True)
@@ -167,8 +168,10 @@
             engine = socket.create_connection(("127.0.0.1", self.engine_port))
             self.sockets += [client, engine]
             for ends in ((client, engine), (engine, client)):
-                threading.Thread(target=self.forward, args=ends,
-                                 daemon=True).start()
+                thread = threading.Thread(target=self.forward, args=ends,
+                                          daemon=True)
+                self.forwarding.append(thread)
+                thread.start()
 
     @staticmethod
     def forward(source, target):
@@ -204,6 +207,9 @@
                                b"\1\0\0\0\0\0\0\0")
                 one.shutdown(socket.SHUT_RD)
                 one.close()
+        # A socket is reset once no thread is in a recv() of it.
+        for thread in self.forwarding:
+            thread.join(5)
 
 
 class ReceivedRequest:
