Review: streams go on at another software version after a restart

Tried: the last three of twelve engines with version v1 crash for 2 s and come back under their ids as v2; clients take their streams up once.

--- a/review/lib/platform_parts.py
+++ b/review/lib/platform_parts.py
@@ -266,9 +266,23 @@
             "cold_remaining_ms": 0, "sequence": 1,
             "born": 1_700_000_000_000, **fields})
 
+    def stop_listening(self):
+        """Closes the port; the pending accept() ends first."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def listen_again(self):
+        """Opens the port again, at the same address."""
+        host, port = self.address.split(":")
+        self.listener = socket.create_server((host, int(port)), backlog=256)
+        threading.Thread(target=self.accept, daemon=True).start()
+
     def accept(self):
         while True:
-            connection, _ = self.listener.accept()
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return  # The engine is down.
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.serve, args=(connection,),
                              daemon=True).start()
@@ -443,6 +457,15 @@
             self.process.wait()
 
 
+def reset(connection):
+    """Closes a connection with a TCP reset."""
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              b"\1\0\0\0\0\0\0\0")
+        connection.shutdown(socket.SHUT_RD)
+        connection.close()
+
+
 def free_ports(host, count):
     """Returns the first of so many consecutive free ports."""
     while True:
