--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,6 @@
-"""Streams go on at another software version after engines were restarted."""
+"""A budget is overspent after the store came back from an older copy."""
 
 import pathlib
-import random
-import re
-import socket
 import sys
 import threading
 import time
@@ -13,158 +10,101 @@
 
 import platform_parts as parts  # noqa: E402
 
-STREAMS = 96
-ENGINES, OLD = 12, 3   # OLD of them still have the version v1.
-EVENTS, EVENT_GAP_S = 60, 0.1
-CRASH_AT_S = 2.5      # After the streams have begun.
-DOWN_S = 2.0          # Until the first one is back.
-RETURN_GAP_S = 0.15   # Between the returns of two engines.
-RETRY_WITHIN_S = 4.0  # Clients come back at random within this time.
-DEADLINE_S = 12.0
-
-
-class Site:
-    """The engines' software versions, and whether engines are down."""
-
-    def __init__(self):
-        self.version = {}
-        self.down = set()
-        self.open = {}
-        self.lock = threading.Lock()
-
-
-SITE = Site()
+PREPAID = 1_200_000
+INPUT, OUTPUT, EVENTS, STRIDE = 1_800, 24, 8, 3
+CLIENTS = 6
+PAUSE_S = 0.25       # Between two requests of a client.
+COPY_AT_S = 17.0     # Since the traffic began.
+AWAY_AT_S = 22.0     # The copy is 5 s old then.
+BACK_AT_S = 23.0
+RESTART_AT_S = 33.0  # Long after the drill.
+END_S = 75.0
 
 
 def serve(engine, request):
-    connection = request.connection
-    with SITE.lock:
-        if engine.name in SITE.down:
-            connection.close()
-            return
-        version = SITE.version[engine.name]
-        SITE.open.setdefault(engine.name, set()).add(connection)
-    first = int(request.headers.get("last-event-id", 0)) + 1
-    engine.record.write(f"engine {engine.name} ({version}): runs "
-                        f"{request.id} from event {first}")
+    del engine
     request.begin_stream()
-    for number in range(first, EVENTS + 1):
-        text = f"id: {number}\ndata: {version} {engine.name}\n\n"
-        request.send(f"{len(text):x}\r\n{text}\r\n")
-        time.sleep(EVENT_GAP_S)
+    for number in range(1, EVENTS + 1):
+        request.send_event(number)
     request.end_stream()
 
 
-def crash(engine, record):
-    """Closes the port and resets all connections."""
-    record.write(f"engine {engine.name}: crashes")
-    with SITE.lock:
-        SITE.down.add(engine.name)
-        connections = SITE.open.pop(engine.name, set())
-    engine.stop_listening()
-    for connection in connections:
-        parts.reset(connection)
-
-
-def come_back(engine, store, record, version, born):
-    """Starts again under the same id and address, registered first."""
-    SITE.version[engine.name] = version
-    engine.register(store, "rosemary-desk", version=version, born=born)
-    record.write(f"engine {engine.name}: back as {version}, its entry is "
-                 f"acknowledged")
-    with SITE.lock:
-        SITE.down.discard(engine.name)
-    engine.listen_again()
-
-
-class Stream:
-    """A stream that its client takes up once after it broke."""
-
-    def __init__(self, number, router, record):
-        self.number, self.router, self.record = number, router, record
-        self.last_event, self.versions = 0, []
-        self.pause = random.Random(number).uniform(0.1, RETRY_WITHIN_S)
-        self.deadline = time.monotonic() + DEADLINE_S
-        self.thread = threading.Thread(target=self.run, daemon=True)
-        self.thread.start()
-
-    def run(self):
-        self.attempt(f"s{self.number}-1")
-        if 0 < self.last_event < EVENTS:
-            time.sleep(self.pause)
-            self.attempt(f"s{self.number}-2")
-
-    def attempt(self, request_id):
-        left_ms = int(1000 * (self.deadline - time.monotonic()))
-        head = (f"POST /chat/x HTTP/1.1\r\nHost: {parts.HOST_NAME}\r\n"
-                f"Request-Id: {request_id}\r\nModel: m\r\n"
-                "Token-Count: 715,180\r\n"
-                f"Prompt-Prefix: {self.number:02x}a:172,"
-                f"{self.number:02x}b:543\r\n"
-                f"Deadline-Ms: {left_ms}\r\n"
-                f"Authorization: Token {parts.KEY}\r\n"
-                "Connection: close\r\nContent-Length: 2\r\n")
-        before, data = self.last_event, b""
-        if before:
-            head += (f"Resumes: s{self.number}-1\r\n"
-                     f"Last-Event-Id: {before}\r\n")
-        try:
-            with socket.create_connection(
-                    (self.router.host, self.router.port), 1) as one:
-                one.settimeout(max(0.1, left_ms / 1000))
-                one.sendall((head + "\r\n{}").encode())
-                while piece := one.recv(65536):
-                    data += piece
-        except OSError:
-            pass
-        for number, version in re.findall(rb"id: (\d+)\ndata: (\w+) ", data):
-            self.last_event = int(number)
-            if version not in self.versions:
-                self.versions.append(version)
-        reason = re.search(rb'"error":"(\w+)"', data)
-        self.record.write(
-            f"client: {request_id}{' takes up' if before else ''} -> "
-            f"{data[9:12].decode() or 'connection ended'} "
-            f"{reason.group(1).decode() if reason else ''}, events "
-            f"{before + 1} to {self.last_event}, versions so far "
-            f"{[one.decode() for one in self.versions]}")
+class Traffic:
+    """Clients of one tenant; counts what they got, by request."""
+
+    def __init__(self, record, routers):
+        self.record, self.routers = record, routers
+        self.lock = threading.Lock()
+        self.tokens, self.answers = 0, {}
+        self.stopped = False
+        self.threads = [threading.Thread(target=self.run, args=(number,),
+                                         daemon=True)
+                        for number in range(CLIENTS)]
+        for one in self.threads:
+            one.start()
+
+    def run(self, number):
+        count = 0
+        while not self.stopped:
+            router = self.routers[(number + count) % len(self.routers)]
+            count += 1
+            request_id = f"c{number}-{count}"
+            answer = parts.send_request(
+                router.host, router.port, "POST", "/draft/x", request_id,
+                body="{}", Model="m", Token_Count=f"{INPUT},{OUTPUT}",
+                Prompt_Prefix=f"aa01:400,{number:02x}{count:06x}:1400")
+            events = answer.events()
+            used = INPUT + events * STRIDE if answer.status == 200 else 0
+            with self.lock:
+                self.tokens += used
+                self.answers[answer.status] = (
+                    self.answers.get(answer.status, 0) + 1)
+                total = self.tokens
+            self.record.write(
+                f"client: {request_id} at {router.name} -> {answer.status}, "
+                f"{events} events, {used} tokens; total {total}"
+                + ("" if answer.status in (0, 200) else
+                   f" {answer.body.decode(errors='replace').strip()}"))
+            time.sleep(PAUSE_S if answer.status != 402 else 1.0)
 
 
 def play(record, trouble, work, routers):
     store = parts.Store(record)
-    store.put("config", "main", parts.configuration(3, [
-        parts.route("chat", "/chat/", "streaming", "rosemary-desk",
-                    timeout_ms=15000)],
-        [{"name": "acme", "api_keys": [parts.KEY], "prepaid": 10_000_000}]))
-    engines = []
-    for number in range(ENGINES):
-        engine = parts.Engine(f"i-{number}", serve)
-        engine.record = record
-        SITE.version[engine.name] = "v1" if number < OLD else "v2"
-        engine.register(store, "rosemary-desk",
-                        version=SITE.version[engine.name])
-        engines.append(engine)
-    router = parts.Router("edge-0", 0, store, record, work)
-    routers.append(router)
-    router.start()
-    router.await_ready()
-    time.sleep(3)
-    streams = [Stream(number, router, record) for number in range(STREAMS)]
-    time.sleep(CRASH_AT_S)
-    if trouble:
-        for engine in engines[:OLD]:
-            crash(engine, record)
-        time.sleep(DOWN_S)
-        for engine in engines[:OLD]:
-            come_back(engine, store, record, "v2", 1_700_000_100_000)
-            time.sleep(RETURN_GAP_S)
-    for one in streams:
-        one.thread.join(DEADLINE_S + 5)
-    joined = [one.number for one in streams if len(one.versions) > 1]
-    record.write(f"streams with events of two versions: {len(joined)} "
-                 f"{joined}")
-    print(f"joined {len(joined)} of {STREAMS}")
-    return len(joined) > 2
+    store.put("config", "main", parts.configuration(
+        3, [parts.route("draft", "/draft/", "streaming", "rosemary-desk")],
+        [{"name": "acme", "api_keys": [parts.KEY], "prepaid": PREPAID}]))
+    for number in range(3):
+        parts.Engine(f"i-{number}", serve).register(store, "rosemary-desk")
+    routers += [parts.Router(f"edge-{number}", number, store, record, work)
+                for number in range(2)]
+    for router in routers:
+        router.start()
+    for router in routers:
+        router.await_ready()
+    start = time.monotonic()
+
+    def wait_until(at):
+        time.sleep(max(0.0, start + at - time.monotonic()))
+
+    traffic = Traffic(record, routers)
+    wait_until(COPY_AT_S)
+    old = store.take_copy()
+    wait_until(AWAY_AT_S)
+    store.leave()
+    wait_until(BACK_AT_S)
+    store.come_back(old if trouble else None)
+    wait_until(RESTART_AT_S)
+    for router in routers:  # Planned: stopped and started in turn.
+        router.restart_planned()
+        router.await_ready()
+    wait_until(END_S)
+    traffic.stopped = True
+    for one in traffic.threads:
+        one.join(8)
+    record.write(f"answers by status: {traffic.answers}")
+    record.write(f"tokens consumed: {traffic.tokens}, prepaid: {PREPAID}")
+    print(f"tokens {traffic.tokens} of {PREPAID}; {traffic.answers}")
+    return traffic.tokens > PREPAID
 
 
 if __name__ == "__main__":
