Review: scripts name record.txt and exit with 2 without a result

An error of a script of its own ended with 1, as a broken rule does; it is 2 now, also after a signal and where the requests were not served before the disruption.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -89,10 +89,13 @@
     traffic = Traffic(record, routers)
     wait_until(COPY_AT_S)
     old = store.take_copy()
+    served_before = traffic.tokens
     wait_until(AWAY_AT_S)
     store.leave()
     wait_until(BACK_AT_S)
     store.come_back(old if trouble else None)
+    if not 0 < served_before < traffic.tokens:
+        raise parts.CannotRun("no requests were served before the drill")
     wait_until(RESTART_AT_S)
     for router in routers:  # Planned: stopped and started in turn.
         router.restart_planned()
@@ -108,4 +111,4 @@
 
 
 if __name__ == "__main__":
-    parts.run_case(play, FOLDER)
+    parts.run_case(play, FOLDER / "record.txt")
--- a/review/lib/platform_parts.py
+++ b/review/lib/platform_parts.py
@@ -24,12 +24,15 @@
 KEY = "key-of-acme-0123456789"
 
 
+class CannotRun(Exception):
+    """The case did not come to its disruption, so it has no result."""
+
+
 class Record:
-    """Writes what was sent, answered and run to record.txt."""
+    """Writes what was sent, answered and run to a file."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w",
-                         encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.lock = threading.Lock()
         self.start = time.monotonic()
 
@@ -255,6 +258,7 @@
 
     def __init__(self, name, serve, host="127.0.0.1"):
         self.name, self.serve_request = name, serve
+        self.connections = set()
         self.listener = socket.create_server((host, 0), backlog=256)
         self.address = "%s:%d" % self.listener.getsockname()[:2]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -271,6 +275,12 @@
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
+    def crash(self):
+        """Closes the port and resets all connections, idle ones too."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            reset(connection)
+
     def listen_again(self):
         """Opens the port again, at the same address."""
         host, port = self.address.split(":")
@@ -283,6 +293,7 @@
                 connection, _ = self.listener.accept()
             except OSError:
                 return  # The engine is down.
+            self.connections.add(connection)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.serve, args=(connection,),
                              daemon=True).start()
@@ -312,6 +323,7 @@
                     request.answer("ok", Instance_Id=self.name)
                 else:
                     self.serve_request(self, request)
+        self.connections.discard(connection)
         connection.close()
 
 
@@ -392,8 +404,20 @@
 ttl_min_ms = 1000
 ''')
         self.process, self.starts = None, 0
+        self.lock, self.closed = threading.Lock(), False
 
     def start(self):
+        """Starts the process and waits until it listens."""
+        with self.lock:
+            if self.closed:
+                return
+            self.launch()
+        found = wait_for(lambda: self.closed or re.search(
+            r"event=listening callers=(\d+) ready=(\d+)", self.log()), 15)
+        if not self.closed:
+            self.port, self.ready_port = map(int, found.groups())
+
+    def launch(self):
         self.starts += 1
         log = open(self.folder / f"log-{self.starts}", "wb")
         self.log_path = self.folder / f"log-{self.starts}"
@@ -408,10 +432,6 @@
         log.close()
         self.record.write(f"{self.name}: started, process "
                           f"{self.process.pid}")
-        found = wait_for(lambda: re.search(
-            r"event=listening callers=(\d+) ready=(\d+)", self.log()), 15)
-        self.port, self.ready_port = map(int, found.groups())
-
     def log(self):
         return self.log_path.read_text(errors="replace")
 
@@ -430,13 +450,14 @@
         wait_for(self.is_ready, seconds)
         self.record.write(f"{self.name}: ready")
 
-    def resident_mb(self):
+    def memory_mb(self):
+        """Returns the process's own memory, without mapped files."""
         try:
             text = pathlib.Path(
                 f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return 0.0
-        found = re.search(r"VmRSS:\s+(\d+) kB", text)
+        found = re.search(r"RssAnon:\s+(\d+) kB", text)
         return int(found.group(1)) / 1024 if found else 0.0
 
     def restart_planned(self, grace_s=8):
@@ -456,6 +477,12 @@
             self.process.kill()
             self.process.wait()
 
+    def close(self):
+        """Ends the process for good."""
+        with self.lock:
+            self.closed = True
+            self.kill()
+
 
 def reset(connection):
     """Closes a connection with a TCP reset."""
@@ -533,24 +560,33 @@
         connection.close()
 
 
-def run_case(play, folder):
-    """Runs a case and exits with its result: 0 held, 1 broken, 2 not run."""
-    record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    routers = []
+def stop_on_signal(*_):
+    raise CannotRun("stopped by a signal")
+
+
+def run_case(play, record_path):
+    """Runs a case and exits: 0 held, 3 broken, 2 not run.
+
+    run.sh turns 3 into 1: Python exits with 1 after an error of its own.
+    """
     result = 2
     try:
-        keep = os.environ.get("REVIEW_KEEP")
-        with (contextlib.nullcontext(keep) if keep else
-              tempfile.TemporaryDirectory(prefix="review-")) as work:
+        record = Record(record_path)
+        trouble = os.environ.get("TROUBLE", "1") != "0"
+        routers = []
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, stop_on_signal)
+        with tempfile.TemporaryDirectory(prefix="review-") as work:
             try:
-                result = 1 if play(record, trouble, work, routers) else 0
+                result = 3 if play(record, trouble, work, routers) else 0
+            except Exception as fault:  # Whatever it is: there is no result.
+                record.write(f"the case could not run: {fault!r}")
             finally:
                 for router in routers:
-                    router.kill()
-    except (TimeoutError, OSError, ValueError) as fault:
-        record.write(f"the case could not run: {fault!r}")
-        result = 2
-    record.write(f"result {result}")
-    print(f"result {result}", flush=True)
-    os._exit(result)
+                    router.close()
+        meaning = {0: "the rule held", 2: "the case could not run",
+                   3: "the rule was broken"}[result]
+        record.write(f"result: {meaning}")
+        print(meaning, flush=True)
+    finally:
+        os._exit(result)
--- a/review/seen/take-ups/case.py
+++ b/review/seen/take-ups/case.py
@@ -144,4 +144,4 @@
 
 
 if __name__ == "__main__":
-    parts.run_case(play, FOLDER)
+    parts.run_case(play, FOLDER / "record.txt")
