Show what an outage of the store costs early and late in a budget

Callers got 402 and 503 for two thirds of what they had prepaid after a fleet had died early, and 503 for most requests while all VMs were cut off late in a budget.

--- a/packages/ledger/test/fleet_recovery.hpp
+++ b/packages/ledger/test/fleet_recovery.hpp
@@ -18,6 +18,9 @@
     /** Prepaid total as a multiple of what clients ask for until the fault. */
     double prepaid_factor = 1.3;
     std::chrono::milliseconds at{30'000};
+    /** Time of demand from which the prepaid total is taken; 0: until the
+     *  fault. */
+    std::chrono::milliseconds day{0};
     std::chrono::milliseconds dark{1'200}; ///< From the fault to the starts.
     bool power = true;                     ///< The VMs boot anew.
     /** Number of VMs, the first ones, that can't reach the store before the
@@ -43,6 +46,10 @@
     token_count overspent = 0;
     token_count requested = 0; ///< By requests until the fault.
     token_count refused = 0;   ///< Of these, refused twice.
+    /** Of the requests that came while VMs could not reach the store. */
+    token_count cut_requested = 0;
+    token_count cut_refused = 0;
+    double demand_per_s = 0; ///< Mean of the tokens that clients ask for.
 };
 
 /**
@@ -70,6 +77,7 @@
         milliseconds lasts{0}; ///< From its admission to its end.
         milliseconds until{0}; ///< End of its wait, or of the request.
         bool retried = false;
+        bool in_cut = false; ///< Came while VMs could not reach the store.
     };
     struct vm
     {
@@ -95,6 +103,8 @@
     void renew(vm& one);
     void kill_all();
     [[nodiscard]] bool reaches_store(const vm& one) const;
+    [[nodiscard]] bool in_cut() const;
+    void refuse(const request& made);
     [[nodiscard]] clock_reading clock(const vm& one) const;
     [[nodiscard]] recovery_outcome result() const;
     [[nodiscard]] double uniform(double from, double to);
--- a/packages/ledger/test/fleet_recovery_test.cpp
+++ b/packages/ledger/test/fleet_recovery_test.cpp
@@ -49,7 +49,9 @@
         weights_.push_back(1.0 / std::pow(static_cast<double>(at + 1), 1.2));
         weight_sum += weights_.back();
     }
-    const auto seconds = static_cast<double>(fault.at.count()) / 1'000;
+    const auto day = fault.day.count() > 0 ? fault.day : fault.at;
+    const auto seconds = static_cast<double>(day.count()) / 1'000;
+    outcome_.demand_per_s = tokens_per_s;
     for (std::size_t at = 0; at < customer_count; ++at) {
         weights_[at] /= weight_sum;
         prepaid_[customers_[at]] = static_cast<token_count>(
@@ -89,11 +91,21 @@
             now_.count() - one.boot_at};
 }
 
+bool fleet_recovery::in_cut() const
+{
+    return !dead_ && now_ >= fault_.at - fault_.cut_before_for;
+}
+
+void fleet_recovery::refuse(const request& made)
+{
+    outcome_.refused += made.used;
+    outcome_.cut_refused += made.in_cut ? made.used : 0;
+}
+
 bool fleet_recovery::reaches_store(const vm& one) const
 {
     if (!dead_)
-        return one.number >= fault_.cut_before ||
-               now_ < fault_.at - fault_.cut_before_for;
+        return one.number >= fault_.cut_before || !in_cut();
     return one.number >= fault_.cut_after ||
            now_ >= fault_.at + fault_.dark + fault_.cut_after_for;
 }
@@ -116,7 +128,9 @@
             made.used = made.input + static_cast<token_count>(output);
             made.lasts = kind.lasts;
             made.until = now_ + headroom_wait;
+            made.in_cut = in_cut();
             outcome_.requested += made.used;
+            outcome_.cut_requested += made.in_cut ? made.used : 0;
             const auto at = static_cast<std::size_t>(
                 uniform(0, static_cast<double>(vms_.size()) - 0.001));
             vms_[at].waiting.push_back(made);
@@ -135,7 +149,7 @@
         }
         else if (now_ >= made.until) {
             if (made.retried) {
-                outcome_.refused += made.used;
+                refuse(made);
                 continue;
             }
             made.retried = true;
