Size grants by the demand of the whole fleet instead of what is left

Callers got 402 and 503 for budgets of which little was used: a fleet that died in its first seconds left two thirds of them charged in vain. A run that did not know its customers' rates was granted 0.85 of what was left, spendable in full after 8 s, and charged so when it ended.

Each share holds its run's mean rate now, and each account the demand of all runs, which outlasts them. A grant lasts for some seconds of the rate that the VM may have to serve; before any use, a part of the total stands for it.

--- a/packages/ledger/ledger_cmd.cpp
+++ b/packages/ledger/ledger_cmd.cpp
@@ -1,6 +1,7 @@
 /** @file ledger_cmd.cpp Commands and queries on a ledger value. */
 #include "ledger/ledger_cmd.hpp"
 
+#include "ledger/ledger_demand_func.hpp"
 #include "ledger/share_limit_func.hpp"
 
 #include <algorithm>
@@ -171,13 +172,11 @@
             between(&spending_slack::outage_seconds)};
 }
 
-/** What bounds the spendable part of a grant, in tokens. */
+/** What bounds the spendable part of a grant. */
 struct spendable_bounds
 {
-    double part = 0; ///< The run's part of what is left of the budget.
-    /** Headroom granted since the rate is not known yet. Traffic may soon need
-     *  much of it. */
-    double uncertain_headroom = 0;
+    double part = 0; ///< The run's part of what is left, in tokens.
+    double rate = 0; ///< Expected spending of the run, in tokens/s.
 };
 
 /** Sets the part of a grant that may be spent before the next write. */
@@ -187,32 +186,29 @@
                         const spendable_bounds& bounds)
 {
     const auto expected =
-        usage.rate * policy.burst_seconds +
+        std::max(usage.rate, bounds.rate) * policy.burst_seconds +
         static_cast<double>(usage.max_reservation) * policy.burst_requests;
     const auto burst =
-        std::max({expected, static_cast<double>(policy.typical_request),
-                  bounds.uncertain_headroom / 12});
+        std::max(expected, static_cast<double>(policy.typical_request));
     own.burst = std::max(usage.unmet_demand,
                          static_cast<token_count>(std::min(
                              burst, bounds.part * slack.max_burst_fraction)));
-    const auto slope = std::max(usage.mean_rate * slack.slope_factor,
-                                bounds.uncertain_headroom / 10);
     own.slope = static_cast<token_count>(
-                    std::min(slope, bounds.part * slack.max_slope_fraction)) +
+                    std::min(bounds.rate * slack.slope_factor,
+                             bounds.part * slack.max_slope_fraction)) +
                 1;
 }
 
-/** @return 1 without any traffic so far, 0 once the rate is known. */
-double rate_uncertainty(const wallet_usage& usage, const ledger_policy& policy)
-{
-    return std::max(0.0, 1.0 - usage.seen_seconds / policy.history_seconds);
-}
-
-/** @return Headroom that lasts for a store outage. */
-double outage_headroom(const ledger_share& share, const spending_slack& slack)
+/** @return Headroom that lasts for a store outage: at first the growth by the
+ *  slope, and then the expected spending. */
+double outage_headroom(const ledger_share& share, const spending_slack& slack,
+                       double rate)
 {
+    using seconds = std::chrono::duration<double>;
+    const auto slope = static_cast<double>(share.slope);
     return static_cast<double>(share.reserved + share.burst) +
-           static_cast<double>(share.slope) * slack.outage_seconds;
+           slope * seconds(linear_growth_end).count() +
+           std::max(slope, rate * slack.slope_factor) * slack.outage_seconds;
 }
 
 /** Records a run's usage in its share and computes its new grant. */
@@ -225,7 +221,9 @@
     own.spent = usage.spent;
     own.reserved = usage.reserved;
     own.lent = std::min(usage.lent, usage.spent);
+    own.rate = std::llround(usage.mean_rate);
     own.wanted = 0;
+    account.demand = update_demand(account, renewal.member.wall_ms);
     auto sums = sum_shares(account, renewal.self);
     const auto rest = std::max<token_count>(0, prepaid - sums.spent);
     const auto equal_part = rest / static_cast<token_count>(vms);
@@ -239,18 +237,14 @@
         fraction = std::min(fraction, 1.0 / static_cast<double>(vms));
     const auto distributed =
         policy.distributed_fraction * fraction * static_cast<double>(rest);
-    const auto uncertain_headroom =
-        covers_typical_request(equal_part, policy)
-            ? distributed * rate_uncertainty(usage, policy)
-            : 0.0;
     const auto slack = slack_at(
         policy, static_cast<double>(rest) /
                     static_cast<double>(std::max<token_count>(1, prepaid)));
-    set_spendable_part(
-        own, usage, policy, slack,
-        {fraction * static_cast<double>(rest), uncertain_headroom});
+    const auto rate = expected_rate(account, usage.mean_rate, prepaid, vms);
+    set_spendable_part(own, usage, policy, slack,
+                       {fraction * static_cast<double>(rest), rate});
     const auto headroom = static_cast<token_count>(
-        std::min(distributed, outage_headroom(own, slack)));
+        std::min(distributed, outage_headroom(own, slack, rate)));
     const auto grantable = prepaid - account.closed - sums.others_granted;
     const auto total =
         own.spent + std::max(headroom, own.reserved + usage.unmet_demand);
--- a/packages/ledger/ledger_cmd.hpp
+++ b/packages/ledger/ledger_cmd.hpp
@@ -22,9 +22,10 @@
      *  of the run's part of what is left of the budget. */
     double max_burst_fraction = 0;
     double max_slope_fraction = 0;
-    /** Ratio of the growth per second to the run's mean spending rate. */
+    /** Ratio of the growth per second to the run's expected spending rate. */
     double slope_factor = 0;
-    /** Seconds without the store for which headroom lasts at that growth. */
+    /** Seconds of expected spending for which headroom lasts without the store
+     *  once it no longer grows by the slope. */
     double outage_seconds = 0;
 };
 
@@ -32,24 +33,21 @@
 struct ledger_policy
 {
     double cover_seconds = 10; ///< Seconds of spending that a run asks for.
-    /** Traffic history needed to know a customer's spending rate. Until then, a
-     *  part of the headroom stands for it. */
-    double history_seconds = 8;
-    double burst_seconds = 2; ///< Seconds of spending available at once.
+    double burst_seconds = 2;  ///< Seconds of spending available at once.
     /** Multiple of the largest reservation, available at once in addition. */
     double burst_requests = 1.0;
     /** Slack while at least full_level of the prepaid total is left. */
-    spending_slack full{.max_burst_fraction = 0.05,
+    spending_slack full{.max_burst_fraction = 0.04,
                         .max_slope_fraction = 0.1,
-                        .slope_factor = 1.5,
-                        .outage_seconds = 11};
+                        .slope_factor = 1.1,
+                        .outage_seconds = 5};
     double full_level = 0.9;
     /** Slack from low_level downwards. What a fault of all VMs may cost has to
      *  be little of what is left. */
     spending_slack low{.max_burst_fraction = 0.01,
                        .max_slope_fraction = 0.013,
                        .slope_factor = 1.1,
-                       .outage_seconds = 9};
+                       .outage_seconds = 4.5};
     double low_level = 0.5;
     /** Fraction of the remaining budget that is granted in proportion to the
      *  runs' demand. */
--- a/packages/ledger/ledger_json_func.cpp
+++ b/packages/ledger/ledger_json_func.cpp
@@ -37,6 +37,8 @@
 {
     json = {value.granted, value.spent,  value.reserved, value.burst,
             value.slope,   value.wanted, value.lent};
+    if (value.rate > 0)
+        json.push_back(value.rate);
 }
 
 void from_json(const nlohmann::json& json, ledger_share& value)
@@ -48,6 +50,7 @@
     json.at(4).get_to(value.slope);
     json.at(5).get_to(value.wanted);
     json.at(6).get_to(value.lent);
+    value.rate = json.size() > 7 ? json.at(7).get<token_count>() : 0;
 }
 
 void to_json(nlohmann::json& json, const ledger_mark& value)
@@ -91,14 +94,19 @@
 
 ROSEMARYDECK_JSON(ledger_layout, parts)
 
+ROSEMARYDECK_JSON(ledger_demand, per_s, wall_ms)
+
 void to_json(nlohmann::json& json, const ledger_account& value)
 {
     json = {{"closed", value.closed}, {"shares", object_of(value.shares)}};
+    if (value.demand != ledger_demand{})
+        json["demand"] = value.demand;
 }
 
 void from_json(const nlohmann::json& json, ledger_account& value)
 {
     json.at("closed").get_to(value.closed);
+    value.demand = json.value("demand", ledger_demand{});
     read_object(json.at("shares"), value.shares);
 }
 
--- a/packages/ledger/ledger_type.hpp
+++ b/packages/ledger/ledger_type.hpp
@@ -30,14 +30,29 @@
     token_count wanted = 0; ///< Headroom that the run's traffic requires.
     /** Part of spent that is lent to other VMs and not reported as used. */
     token_count lent = 0;
+    /** Mean spending of the run, tokens/s; 0 if unknown, as builds up to
+     * e185cd8 drop it when they write. */
+    token_count rate = 0;
 
     bool operator==(const ledger_share&) const = default;
 };
 
+/** Mean demand for a customer's budget on all VMs. Outlasts the runs that have
+ *  measured it. Decides how much is granted, not what is charged. */
+struct ledger_demand
+{
+    token_count per_s = 0;    ///< Tokens per second; 0 before any use.
+    std::int64_t wall_ms = 0; ///< Unix time of the update.
+
+    bool operator==(const ledger_demand&) const = default;
+};
+
 /** One customer's account in a ledger shard. */
 struct ledger_account
 {
     token_count closed = 0; ///< Total charged for runs that have ended.
+    /** Unknown to builds up to e185cd8, which drop it when they write. */
+    ledger_demand demand;
     std::map<instance_id, ledger_share> shares; ///< Shares of runs not closed.
 
     bool operator==(const ledger_account&) const = default;
@@ -105,6 +120,7 @@
 };
 
 ROSEMARYDECK_JSON_DECLARE(ledger_share);
+ROSEMARYDECK_JSON_DECLARE(ledger_demand);
 ROSEMARYDECK_JSON_DECLARE(ledger_account);
 ROSEMARYDECK_JSON_DECLARE(ledger_mark);
 ROSEMARYDECK_JSON_DECLARE(ledger_member);
--- a/packages/ledger/test/fleet_outage_test.cpp
+++ b/packages/ledger/test/fleet_outage_test.cpp
@@ -1,6 +1,7 @@
 /** @file fleet_outage_test.cpp Tests of budgets while no VM reaches the store.
  */
 #include "fleet_recovery.hpp"
+#include "ledger/ledger_demand_func.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -93,3 +94,22 @@
     CHECK(result.in_vain_beyond_dark < max_in_vain);
     CHECK(result.served >= min_served);
 }
+
+TEST_CASE("The demand for a budget outlasts the runs that have measured it",
+          "[demand]")
+{
+    ledger_account account;
+    account.shares[instance_id("a.1")].rate = 900;
+    account.shares[instance_id("b.1")].rate = 100;
+    account.demand = update_demand(account, 50'000);
+    CHECK(account.demand == ledger_demand{1'000, 50'000});
+    account.shares.clear();
+    account.demand = update_demand(account, 51'000);
+    CHECK(account.demand.per_s > 800);
+    CHECK(expected_rate(account, 0, 100'000, 2) > 200);
+    // A clock that jumps does not drop it.
+    CHECK(update_demand(account, 9'000'000).per_s > 700);
+    CHECK(update_demand(account, 0) == ledger_demand{account.demand.per_s, 0});
+    // Before any use a part of the total stands for it.
+    CHECK(expected_rate({}, 0, 100'000, 2) > 0);
+}
--- a/packages/ledger/test/ledger_upgrade_test.cpp
+++ b/packages/ledger/test/ledger_upgrade_test.cpp
@@ -83,8 +83,11 @@
     auto options = options_of("a");
     options.started = at(0ms).now;
     lone_vm vm(options);
-    for (auto time = 100ms; time < 20s; time += 700ms)
+    for (auto time = 100ms; time < 20s; time += 700ms) {
         vm.renew(1'000'000, time);
+        REQUIRE(vm.local_wallet.reserve(acme, 500, at(time).now));
+        vm.local_wallet.settle(acme, 500, 500);
+    }
     const json stored = vm.writer.current();
     const auto rewritten = rewritten_by_previous_build(stored);
     // All that differs is what that build doesn't know.
@@ -95,9 +98,14 @@
         for (auto& mark : member.marks)
             mark.age_ms = 0;
     }
+    auto& account = expected.accounts.at(acme);
+    CHECK(account.demand.per_s > 0);
+    account.demand = {};
+    CHECK(share_of(expected, "a.1").rate > 0);
+    account.shares.at(instance_id("a.1")).rate = 0;
     CHECK(rewritten.get<ledger>() == expected);
     // And that build charges the share by the same limits, or larger ones.
-    const auto share = share_of(vm.writer.current(), "a.1");
+    const auto share = share_of(expected, "a.1");
     CHECK(rewritten.get<ledger>().accounts.at(acme).shares.at(
               instance_id("a.1")) == share);
 }
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -48,8 +48,6 @@
     auto& known = entries_[customer];
     auto& usage = known.usage;
     usage.max_reservation = std::max(usage.max_reservation, tokens);
-    if (known.first_seen == time_point{})
-        known.first_seen = now;
     if (usage.spent + usage.reserved + tokens > known.limit(now)) {
         usage.unmet_demand = std::max(usage.unmet_demand, tokens);
         return false;
@@ -65,8 +63,6 @@
     auto& known = entries_[customer];
     auto& usage = known.usage;
     usage.max_reservation = std::max(usage.max_reservation, min_tokens);
-    if (known.first_seen == time_point{})
-        known.first_seen = now;
     const auto headroom = known.limit(now) - usage.spent - usage.reserved;
     if (headroom < min_tokens) {
         usage.unmet_demand = std::max(usage.unmet_demand, min_tokens);
@@ -160,9 +156,6 @@
         known.rate_sample_at = now;
         known.rate_sample_spent = usage.spent;
     }
-    if (known.first_seen != time_point{})
-        usage.seen_seconds =
-            std::chrono::duration<double>(now - known.first_seen).count();
     auto result = usage;
     result.unmet_demand = std::max(result.unmet_demand, known.waiting);
     usage.unmet_demand = 0;
--- a/packages/ledger/wallet_base.hpp
+++ b/packages/ledger/wallet_base.hpp
@@ -26,7 +26,6 @@
     token_count unmet_demand = 0;
     double rate = 0;      ///< Spent tokens per second; follows a rise quickly.
     double mean_rate = 0; ///< The same, averaged over some seconds.
-    double seen_seconds = 0; ///< Seconds since the first request.
 
     bool operator==(const wallet_usage&) const = default;
 };
@@ -125,7 +124,6 @@
         token_count consumed = 0;        ///< Used by the whole fleet.
         token_count shortage_tokens = 0; ///< Unavailable until shortage_until.
         time_point shortage_until{};
-        time_point first_seen{}; ///< Time of the first request.
         token_count rate_sample_spent = 0;
         time_point rate_sample_at{};
         time_point rate_since{}; ///< Time of the first rate sample.
