Count hops that break as repeats

When another VM broke off without an answer, the request went to the next VM, up to three, without a token of the retry budget, and each of them took its own first send for the first of all. The other VM may have sent the request to an engine.

A hop after a broken one takes a token, and the broken one counts as a send towards the route's attempts and at the next VM. request_relayed logs the sends.

--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -268,6 +268,7 @@
     /** Set if another VM passed the request on. */
     std::optional<relayed_request> relayed_;
     bool relay_answered_ = false; ///< Another VM gave the whole answer.
+    bool hop_broke_ = false;      ///< Another VM broke off without an answer.
     unsigned relayed_status_ = 0; ///< HTTP status of another VM's answer.
     bool is_trial_ = false;       ///< Sent although it is blocked.
     bool stream_started_ = false;
--- a/packages/gateway/exchange_relay.cpp
+++ b/packages/gateway/exchange_relay.cpp
@@ -150,6 +150,8 @@
     std::set<vm_id> tried;
     const auto peers = permitted_relays();
     while (may_relay() && tried.size() < max_relays) {
+        if (hop_broke_ && !acquire_send())
+            return;
         const auto peer =
             context_.relays.choose(peers, tried, context_.clock.now());
         if (!peer)
@@ -166,9 +168,15 @@
                                                {"to", peer->vm.value()},
                                                {"outcome", name_of(outcome)},
                                                {"status", relayed_status_},
+                                               {"sends", send_count_},
                                                {"ms", elapsed()}});
         if (outcome == relay_outcome::answered)
             return;
+        if (outcome == relay_outcome::broken) {
+            // The other VM may have sent it to an engine.
+            hop_broke_ = true;
+            ++send_count_;
+        }
     }
 }
 
--- a/tests/daemons/gateway_relay_test.py
+++ b/tests/daemons/gateway_relay_test.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import socket
 import threading
 import time
 import unittest
@@ -297,5 +298,56 @@
             self.assertEqual(self.log_matches("event=request_blocked"), [])
 
 
+class BrokenHopTest(GatewayTestCase):
+    """The other VMs pass each request on to an engine and break off then."""
+
+    def test_hops_that_break_count_as_repeats(self):
+        arrivals = []
+
+        def receive(connection):
+            head = b""
+            while data := connection.recv(65536):
+                head += data
+                if b"\r\n\r\n" in head:
+                    arrivals.append(time.monotonic())
+                    break
+            connection.close()
+
+        def accept(listener):
+            with contextlib.suppress(OSError):
+                while True:
+                    threading.Thread(target=receive, daemon=True,
+                                     args=listener.accept()[:1]).start()
+        listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+        for number, listener in enumerate(listeners):
+            self.addCleanup(listener.close)
+            threading.Thread(target=accept, args=(listener,),
+                             daemon=True).start()
+            self.store.put("rosemarydeck-vms", f"vm-{number}", {
+                "run": f"vm-{number}.1", "beat": 1, "data_centre": "dc1",
+                "address": "127.0.0.1", "port": 0, "cores": 1,
+                "relay_port": listener.getsockname()[1],
+                "out_of_rotation": False})
+        self.peer_port, self.relay_port = free_port(), free_port()
+        engines = self.start_with_engines(
+            lambda request: request.answer("a"),
+            lambda request: request.answer("a"), service="plain")
+        fleet.wait_until(lambda: self.log_match("event=fleet_size vms=4"), 20,
+                         "the VMs to be counted")
+        for engine in engines:
+            engine.crash()
+        requests = []
+        for number in range(24):
+            requests.append(time.monotonic())
+            Client(self.port).request("GET", f"/look/{number}").read()
+            time.sleep(0.52)  # A VM that failed is asked again after 0.5 s.
+        for begin in arrivals:
+            def within(times):
+                return sum(begin <= one < begin + 10 for one in times)
+            # The part of 56 for one of four VMs, and a fifth of the requests.
+            self.assertLessEqual(within(arrivals) - within(requests),
+                                 56 / 4 + len(requests) / 5)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
