Refuse requests that may outlast a planned stop

In a planned stop, requests that came late in the grace were taken and cut off at its end without an answer, orders among them (LOST). A client that had begun a request before idle connections were closed, or had sent it behind an open stream, was served whatever time was left; and a process without open requests ended while a request was being read.

While draining, a request that may not be repeated is refused with 503 if its time reaches beyond the stop, and any other one so once the load balancer sends no new clients: it has not run, and other VMs take it at once. A drain waits for requests that are being read.

--- a/packages/client/client_explain_cmd.cpp
+++ b/packages/client/client_explain_cmd.cpp
@@ -46,6 +46,8 @@
     outcome_row{"unknown_key",
                 "no customer of the VM's configuration has the API key"},
     outcome_row{"no_engine", "no engine of the service could be reached"},
+    outcome_row{"stopping", "the VM stops before the request would have ended"},
+    outcome_row{"token_count", "the request names an invalid token count"},
     outcome_row{"engines_full",
                 "engines refused the request without running it"},
     outcome_row{"engine_lost",
--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -34,6 +34,22 @@
     return 400;
 }
 
+/** Counts a request as open while it is read, so that a drain waits for it. */
+class open_request_count
+{
+public:
+    explicit open_request_count(traffic_context& context) : context_(context)
+    {
+        ++context_.open_requests;
+    }
+    ~open_request_count() { --context_.open_requests; }
+    open_request_count(const open_request_count&) = delete;
+    open_request_count& operator=(const open_request_count&) = delete;
+
+private:
+    traffic_context& context_;
+};
+
 template <class Number>
 Number number_in(const client_request& request, const char* field)
 {
@@ -128,6 +144,7 @@
         !stream_->read_more(limits.idle_timeout))
         return false;
     received_at_ = context_.clock.now();
+    const open_request_count counted(context_);
     const auto header_deadline = received_at_ + limits.header_timeout;
     while (true) {
         if (parse_buffered(parser))
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -42,6 +42,10 @@
 /** Retry-After for crashes_engines. A block that is wrong ends within seconds
  *  where other requests clear it, or after minutes by a trial. */
 constexpr auto retry_after_blocked = milliseconds(60'000);
+/** Retry-After for stopping. Other VMs take the client at once. */
+constexpr auto retry_after_stopping = milliseconds(100);
+/** Time before the stop by which requests have to end. */
+constexpr auto stop_margin = milliseconds(200);
 /** Minimum remaining time for a send: with less, no engine can start on the
  *  request. */
 constexpr auto min_send_time = milliseconds(15);
@@ -126,6 +130,11 @@
     if (request_head_.deadline)
         timeout = std::min(timeout, *request_head_.deadline);
     deadline_ = started_ + timeout;
+    if (may_outlast_stop()) {
+        refuse(503, counter::refused_stopping, "stopping",
+               retry_after_stopping);
+        return false;
+    }
     service_ = choose_service();
     if (!find_stream_origin())
         return false;
@@ -153,6 +162,16 @@
     return false;
 }
 
+bool exchange::may_outlast_stop() const
+{
+    if (!context_.draining ||
+        deadline_ + duration(stop_margin) <= context_.stop_at)
+        return false;
+    // A client that the load balancer sent here can repeat what is cut off.
+    return !route_->repeatable() ||
+           context_.clock.now() > context_.balancer_left_at;
+}
+
 bool exchange::reserve()
 {
     if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt)
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -73,6 +73,8 @@
 
     bool admit();
     bool authenticate();
+    /** @return True if this VM may stop before the request has ended. */
+    [[nodiscard]] bool may_outlast_stop() const;
     /** Reserves the maximum charge if the request falls under a budget. */
     bool reserve();
     /** @return True if the rest of the budget is kept for requests that are
--- a/packages/gateway/exchange_end.cpp
+++ b/packages/gateway/exchange_end.cpp
@@ -69,7 +69,8 @@
     log_end(reason, status);
     auto fields = platform::local_answer_header(request_head_.id, retry_after);
     if (relayed_ && (refusal_counter == counter::refused_no_engine ||
-                     refusal_counter == counter::refused_no_config))
+                     refusal_counter == counter::refused_no_config ||
+                     refusal_counter == counter::refused_stopping))
         fields.set(relay_no_engine_field, "1");
     add_relay_fields(fields);
     return write_answer(status, std::move(fields),
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -284,12 +284,12 @@
 {
     const auto drain_start = clock_.now();
     log_.write("drain_begin", {{"open_requests", traffic_->open_requests()}});
-    traffic_->begin_drain();
+    const auto deadline =
+        drain_start + settings_.termination_grace_period - shutdown_reserve;
+    traffic_->begin_drain(drain_start + balancer_removal_delay, deadline);
     fiber_sleep(io_, balancer_removal_delay);
     traffic_->close_idle_connections();
     fiber_sleep(io_, poll_interval * 2);
-    const auto deadline =
-        drain_start + settings_.termination_grace_period - shutdown_reserve;
     while (traffic_->open_requests() > 0 && clock_.now() < deadline)
         fiber_sleep(io_, poll_interval);
     control_->close_budgets();
--- a/packages/gateway/gateway_metrics_base.cpp
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -32,6 +32,8 @@
         {"refused_budget_kept_total",
          "Refused: the rest of the budget is kept for smaller requests."},
         {"refused_no_engine_total", "Refused: no engine could be reached."},
+        {"refused_stopping_total", "Refused: this VM stops too soon."},
+        {"refused_token_count_total", "Refused: the token count is invalid."},
         {"refused_engines_full_total", "Refused: engines turned it away."},
         {"refused_crashing_total",
          "Refused: engines went down with this request before."},
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -26,6 +26,8 @@
     refused_budget_unknown,
     refused_budget_kept,
     refused_no_engine,
+    refused_stopping,
+    refused_token_count,
     refused_engines_full,
     refused_crashing,
     refused_unknown_origin,
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -87,12 +87,16 @@
      *  requests leave it to them. */
     std::multiset<customer_id> waiting_take_ups{};
     bool draining = false; ///< Answers close their connections.
+    /** While draining: when the process stops, and until when the load balancer
+     *  may still send new clients. */
+    time_point stop_at{};
+    time_point balancer_left_at{};
     /** The load balancer sends no new clients. Answers close their connections,
      *  so that the clients move to other VMs. */
     bool out_of_rotation = false;
     link_traffic link_bytes{}; ///< Passed to and from clients and engines.
     link_load link{{.bytes_per_s = settings.link_bits_per_s / 8}};
-    std::size_t open_requests = 0; ///< Client requests being handled.
+    std::size_t open_requests = 0; ///< Client requests being read or handled.
 };
 
 } // namespace rosemarydeck
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -127,9 +127,14 @@
     });
 }
 
-void traffic_service::begin_drain()
+void traffic_service::begin_drain(time_point balancer_left_at,
+                                  time_point stop_at)
 {
-    boost::asio::post(io_, [this] { context_.draining = true; });
+    boost::asio::post(io_, [=, this] {
+        context_.draining = true;
+        context_.balancer_left_at = balancer_left_at;
+        context_.stop_at = stop_at;
+    });
 }
 
 void traffic_service::set_out_of_rotation(bool outside)
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -27,8 +27,11 @@
     void publish(std::shared_ptr<const fleet_view> view);
     /** Applies changed settings; callable from any thread. */
     void configure(const gateway_settings& settings);
-    /** Makes all further answers close their connections. */
-    void begin_drain();
+    /** Makes all further answers close their connections, and refuses requests
+     *  that may last beyond the stop.
+     *  @param balancer_left_at Until when the load balancer sends new clients.
+     *  @param stop_at When the process stops. */
+    void begin_drain(time_point balancer_left_at, time_point stop_at);
     /** Makes further answers close their connections, or keep them again. */
     void set_out_of_rotation(bool outside);
     /** @return True while clients send more than this VM's link carries. */
