--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -67,8 +67,9 @@
     ++context_.open_requests;
     request_head_ = platform::decode_request(request_);
     initial_event_id_ = last_event_id_ = request_head_.resume_after.value_or(0);
-    stream_ = initial_event_id_ == 0 ? stream_id(request_head_.id)
-                                     : request_head_.resumed_stream;
+    stream_ = stream_key(initial_event_id_ == 0
+                             ? request_head_.id
+                             : request_head_.resumed_stream.value());
     view_ = context_.view;
     keep_alive_ = request_.keep_alive() && !context_.draining &&
                   !context_.out_of_rotation;
--- a/packages/router/stream_origin_type.hpp
+++ b/packages/router/stream_origin_type.hpp
@@ -7,6 +7,14 @@
 namespace rosemarydeck
 {
 
+/** Longest key of a stream, in bytes. */
+constexpr std::size_t max_stream_key_bytes = 64;
+
+/** @param client_id Id of any bytes and length, as a client names a stream.
+ *  @return The id under which the VMs know the stream: the same if it is short
+ *          and printable, or else a hash of 128 bits. */
+stream_id stream_key(const std::string& client_id);
+
 /** Only engines of the service and software version that began a stream may
  *  continue it: what two versions generate doesn't fit together. */
 struct stream_origin
--- a/packages/router/stream_registry_base.cpp
+++ b/packages/router/stream_registry_base.cpp
@@ -2,6 +2,8 @@
  *  began. */
 #include "router/stream_registry_base.hpp"
 
+#include "common/hash_func.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -13,8 +15,27 @@
 
 using origin_set = std::set<stream_origin>;
 
+constexpr char hash_prefix = '#';
+
+bool is_printable(char one)
+{
+    return one > ' ' && one <= '~';
+}
+
 } // namespace
 
+stream_id stream_key(const std::string& client_id)
+{
+    if (client_id.size() <= max_stream_key_bytes &&
+        std::all_of(client_id.begin(), client_id.end(), is_printable) &&
+        !client_id.starts_with(hash_prefix))
+        return stream_id(client_id);
+    const auto hash = [&](const std::string& salt) {
+        return std::to_string(stable_hash(salt + client_id));
+    };
+    return stream_id(hash_prefix + hash("1") + "-" + hash("2"));
+}
+
 stream_registry::stream_registry(stream_registry_options options)
     : options_(options)
 {
--- a/packages/router/stream_registry_base.hpp
+++ b/packages/router/stream_registry_base.hpp
@@ -25,7 +25,7 @@
     /** Streams kept; the oldest broken ones go first. */
     std::size_t max_streams = 4'096;
     /** Longer ids are not kept; clients choose them. */
-    std::size_t max_id_bytes = 64;
+    std::size_t max_id_bytes = max_stream_key_bytes;
 };
 
 /**
--- a/packages/router/test/stream_registry_test.cpp
+++ b/packages/router/test/stream_registry_test.cpp
@@ -95,6 +95,26 @@
 
 } // namespace
 
+TEST_CASE("Streams with ids of any bytes and length have keys of their own",
+          "[streams]")
+{
+    CHECK(stream_key("s-1") == stream_id("s-1"));
+    const std::string ids[] = {std::string(65, 'a'),
+                               std::string(66, 'a'),
+                               "\xf6",
+                               "\xfc",
+                               "a b",
+                               "#1"};
+    std::set<stream_id> keys;
+    for (const auto& id : ids) {
+        const auto key = stream_key(id);
+        CHECK(key == stream_key(id));
+        CHECK(key.value().size() <= max_stream_key_bytes);
+        keys.insert(key);
+    }
+    CHECK(keys.size() == std::size(ids));
+}
+
 TEST_CASE("While one version serves, a stream that nobody lists is its",
           "[stream]")
 {
--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -226,14 +226,14 @@
 
     def __init__(self, connection, head, body):
         self.connection, self.body = connection, body
-        lines = head.decode().split("\r\n")
+        lines = head.decode("latin-1").split("\r\n")
         self.method, self.target, _ = lines[0].split(" ", 2)
         self.headers = dict(line.split(": ", 1) for line in lines[1:] if line)
         self.id = self.headers.get("Request-Id", "")
 
     def send(self, data):
         self.connection.sendall(data if isinstance(data, bytes)
-                                else data.encode())
+                                else data.encode("latin-1"))
 
     def response_head(self, status=200, seal="seal-1", request_id=None,
                       **extra):
