Refuse token counts that are no numbers, and cap the others

A count without a comma, with a sign or a fraction stood for no tokens, and the request was served free of charge.

--- a/packages/credit/credit_pool_base.cpp
+++ b/packages/credit/credit_pool_base.cpp
@@ -65,7 +65,7 @@
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     auto& known = entries_[customer];
-    if (known.free < tokens)
+    if (tokens < 0 || known.free < tokens)
         return false;
     known.free -= tokens;
     return true;
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -177,6 +177,10 @@
 {
     if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt)
         return true;
+    if (!request_head_.valid_token_count) {
+        refuse(400, counter::refused_token_count, "token_count");
+        return false;
+    }
     const auto charge = request_head_.max_charge();
     if (is_budget_kept()) {
         refuse(503, counter::refused_budget_kept, "budget_kept",
--- a/packages/ledger/test/wallet_test.cpp
+++ b/packages/ledger/test/wallet_test.cpp
@@ -18,6 +18,20 @@
 
 } // namespace
 
+TEST_CASE("A reservation that overflows is refused", "[wallet]")
+{
+    wallet local_wallet;
+    local_wallet.replace_terms(acme,
+                               {{.granted = 1'000, .burst = 1'000}, at(0ms)});
+    REQUIRE(local_wallet.reserve(acme, 600, at(0ms)));
+    constexpr auto largest = std::numeric_limits<token_count>::max();
+    for (const auto tokens : {largest, largest - 500, token_count{-1},
+                              std::numeric_limits<token_count>::min()}) {
+        CHECK_FALSE(local_wallet.reserve(acme, tokens, at(0ms)));
+    }
+    CHECK(local_wallet.headroom(acme, at(0ms)) == 400);
+}
+
 TEST_CASE("A wallet tells when its headroom covers a request", "[wallet]")
 {
     wallet local;
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -48,7 +48,9 @@
     auto& known = entries_[customer];
     auto& usage = known.usage;
     usage.max_reservation = std::max(usage.max_reservation, tokens);
-    if (usage.spent + usage.reserved + tokens > known.limit(now)) {
+    if (tokens < 0)
+        return false;
+    if (tokens > known.limit(now) - usage.spent - usage.reserved) {
         usage.unmet_demand = std::max(usage.unmet_demand, tokens);
         return false;
     }
@@ -224,9 +226,9 @@
     if (found == entries_.end())
         return std::nullopt;
     const auto& known = found->second;
-    const auto needed = known.usage.spent + known.usage.reserved + tokens;
+    const auto used = known.usage.spent + known.usage.reserved;
     for (duration wait{}; wait <= max; wait += headroom_forecast_step)
-        if (known.limit(now + wait) >= needed)
+        if (known.limit(now + wait) - used >= tokens)
             return wait;
     return std::nullopt;
 }
--- a/packages/router/request_type.hpp
+++ b/packages/router/request_type.hpp
@@ -16,6 +16,9 @@
     bool operator==(const prompt_part&) const = default;
 };
 
+/** Larger than any engine's memory, and small enough for sums of many. */
+constexpr token_count max_request_tokens = 1'000'000'000'000;
+
 /** Fields of a request's header that the router uses. */
 struct request_head
 {
@@ -31,8 +34,10 @@
     std::optional<std::uint64_t> resume_after;
     /** The stream that is to be resumed; empty if the client names none. */
     stream_id resumed_stream;
+    /** At most max_request_tokens each. */
     token_count input_tokens = 0;
     token_count max_output_tokens = 0;
+    bool valid_token_count = true; ///< Also if the request names no count.
     std::vector<prompt_part> prompt;
 
     bool operator==(const request_head&) const = default;
