Charge hops at the VM that has the client

Requests at VMs without engines were refused as no_headroom while the store was away (RECOVER): the VM gave back what it had reserved, and the other VM reserved the tokens anew from a share that is sized by its own clients and can't grow without the store.

The VM that passes a request on keeps the reservation and says so; the other one reserves nothing. The former charges the prompt, and the output by the events that it passes on. The new test found all 1009 tokens at the other VM before; the cases of one charge and of charges after a cut hold.

--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -63,7 +63,8 @@
 {
     return {number_in<std::uint32_t>(request, relay_sends_field),
             number_in<std::uint64_t>(request, relay_config_field),
-            vm_id(std::string(request[relay_vm_field]))};
+            vm_id(std::string(request[relay_vm_field])),
+            request.find(relay_paid_field) != request.end()};
 }
 
 } // namespace
@@ -88,8 +89,8 @@
         std::optional<relayed_request> relayed;
         if (from_vm_)
             relayed = read_relay_fields(request);
-        for (const auto* field :
-             {relay_sends_field, relay_config_field, relay_vm_field})
+        for (const auto* field : {relay_sends_field, relay_config_field,
+                                  relay_vm_field, relay_paid_field})
             request.erase(field);
         if (from_vm_ && request.target() == config_copy_path) {
             send_config_copy(relayed->config_version);
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -175,7 +175,8 @@
 
 bool exchange::reserve()
 {
-    if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt)
+    if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt ||
+        (relayed_ && relayed_->paid))
         return true;
     if (!request_head_.valid_token_count) {
         refuse(400, counter::refused_token_count, "token_count");
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -194,14 +194,13 @@
     /** @return True if another VM may serve the request. Each request is passed
      *  on once at most. */
     [[nodiscard]] bool may_relay() const;
-    /** Reserves again what was released for another VM to reserve.
-     *  @return False if headroom is short. */
-    bool restore_reservation();
     /** Passes the request on to other VMs until one reaches an engine. */
     void relay();
     /** Passes the request on to one VM, and its answer to the client. */
     relay_outcome relay_to(const relay_peer& peer);
     std::string encode_for_vm() const;
+    /** Counts the events of another VM's answer, which this VM charges. */
+    void count_passed_events(event_splitter& splitter, const std::string& body);
     /** Passes on another VM's answer. @return True if it is whole. */
     bool pass_on_answer(answer_parser& parser);
     /** Tries in the background whether an engine can be reached again. */
--- a/packages/gateway/exchange_relay.cpp
+++ b/packages/gateway/exchange_relay.cpp
@@ -34,6 +34,12 @@
     return version;
 }
 
+/** @return True if a status says that the request has not run and won't. */
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 std::uint64_t exchange::config_version() const
@@ -68,7 +74,7 @@
         probe_engine();
         relay();
         // The cut may have ended meanwhile.
-        if (relay_answered_ || may_have_run_ || !restore_reservation())
+        if (relay_answered_ || may_have_run_)
             return;
     }
     try_engines();
@@ -76,14 +82,6 @@
         relay();
 }
 
-bool exchange::restore_reservation()
-{
-    if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt ||
-        reserved_tokens_ > 0)
-        return true;
-    return try_reserve(request_head_.max_charge());
-}
-
 bool exchange::reaches_engines() const
 {
     const auto engines = view_->engines.find(service_);
@@ -157,9 +155,6 @@
         if (!peer)
             return;
         tried.insert(peer->vm);
-        // The other VM reserves the request's tokens itself.
-        if (!may_have_run_)
-            settle();
         const auto outcome = relay_to(*peer);
         engine_connection_.reset();
         context_.relays.release(*peer, outcome, context_.clock.now());
@@ -193,6 +188,8 @@
     header.set(relay_sends_field, std::to_string(send_count_));
     header.set(relay_config_field, std::to_string(config_version()));
     header.set(relay_vm_field, context_.settings.vm.value());
+    if (reserved_tokens_ > 0)
+        header.set(relay_paid_field, "1");
     platform::set_deadline(
         header, std::chrono::duration_cast<milliseconds>(time_left()));
     return header_text(header) + request_.body();
@@ -238,11 +235,21 @@
     }
     if (!pass_on_answer(parser))
         return relay_outcome::broken;
-    // A success is charged by the other VM.
-    may_have_run_ = may_have_run_before && relayed_status_ >= 300;
+    if (promises_not_run(relayed_status_))
+        may_have_run_ = may_have_run_before;
     return relay_outcome::answered;
 }
 
+void exchange::count_passed_events(event_splitter& splitter,
+                                   const std::string& body)
+{
+    if (route_->repeat != repeat_rule::stream || relayed_status_ >= 300)
+        return;
+    for (const auto& event : splitter.feed(body))
+        if (event.id)
+            last_event_id_ = std::max(last_event_id_, *event.id);
+}
+
 bool exchange::pass_on_answer(answer_parser& parser)
 {
     http::response_header<> header(parser.get());
@@ -255,8 +262,10 @@
     time_to_first_byte_ = elapsed();
     if (!client_.write(header_text(header), time_left()))
         return false;
+    event_splitter splitter;
     while (true) {
         const auto body = std::exchange(parser.get().body(), {});
+        count_passed_events(splitter, body);
         if (!body.empty() &&
             !client_.write(chunked ? encode_chunk(body) : body, time_left()))
             return false;
--- a/packages/gateway/relay_header_type.hpp
+++ b/packages/gateway/relay_header_type.hpp
@@ -14,6 +14,8 @@
 constexpr const char* relay_config_field = "Rosemarydeck-Config";
 /** Of the request: the VM that passes it on. */
 constexpr const char* relay_vm_field = "Rosemarydeck-Vm";
+/** Of the request: the VM that passes it on has reserved its tokens. */
+constexpr const char* relay_paid_field = "Rosemarydeck-Paid";
 /** Path at which a VM gives others its configuration, if that is newer than
  *  the version in relay_config_field. */
 constexpr const char* config_copy_path = "/rosemarydeck/configuration";
@@ -24,7 +26,8 @@
     std::uint32_t sends = 0; ///< Sends to engines before.
     /** Its configuration version; 0 if it tells none. */
     std::uint64_t config_version = 0;
-    vm_id vm; ///< Its name; empty if it tells none.
+    vm_id vm;          ///< Its name; empty if it tells none.
+    bool paid = false; ///< It has reserved the tokens and charges them.
 
     bool operator==(const relayed_request&) const = default;
 };
--- a/tests/daemons/gateway_relay_test.py
+++ b/tests/daemons/gateway_relay_test.py
@@ -177,6 +177,16 @@
         # Three events of three tokens.
         self.assertEqual(self.spent(), 1009)
 
+    def test_hop_uses_the_headroom_of_the_vm_that_has_the_client(self):
+        """The other VM may have none, and can't get any without the store."""
+        self.start_two_vms()
+        self.cut()
+        self.client().chat(tokens="1000,9").read()
+        time.sleep(2.5)
+        spent = {run.split(".")[0]: share[1] + share[2] for run, share
+                 in self.ledger_account()["shares"].items()}
+        self.assertEqual(spent, {"vm-a": 1009, "vm-b": 0})
+
     def test_request_that_no_other_vm_took_is_charged_here(self):
         """It is served here after all, since the cut has just ended."""
         self.start_two_vms()
