Ask an engine for its start before a stream goes on there

A VM takes what the store last told it for what the engine is. Before a stream goes on at an engine, and before one begins at an engine whose connections have failed since, the VM reads the engine's report on that connection and compares its start with the entry's. If they differ, nothing is sent and another engine is tried; a refusal says truthfully that the request has not run. Each check costs a call to an engine, counted in engine_start_checks_total.

--- a/packages/gateway/engine_connection_pool_base.cpp
+++ b/packages/gateway/engine_connection_pool_base.cpp
@@ -19,7 +19,8 @@
  *  vanished engine; two probes are lost by then. */
 constexpr auto dead_peer_timeout = std::chrono::seconds(3);
 
-bool is_usable(engine_connection& connection)
+/** @param was_reset Set if the engine has reset the connection. */
+bool is_usable(engine_connection& connection, bool& was_reset)
 {
     // Anything readable on an idle connection is a close or an unexpected
     // answer.
@@ -28,6 +29,7 @@
     char byte = 0;
     connection.socket.receive(boost::asio::buffer(&byte, 1),
                               boost::asio::socket_base::message_peek, fault);
+    was_reset = fault == boost::asio::error::connection_reset;
     return fault == boost::asio::error::would_block;
 }
 
@@ -57,8 +59,11 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (!is_expired(*connection, now) && is_usable(*connection))
+        bool was_reset = false;
+        if (!is_expired(*connection, now) && is_usable(*connection, was_reset))
             return connection;
+        if (was_reset)
+            record_doubt(engine);
     }
     return nullptr;
 }
@@ -114,6 +119,17 @@
         idle.pop_front();
 }
 
+void engine_connection_pool::record_doubt(const engine_info& engine)
+{
+    doubtful_[engine.id] = engine.started_at_ms;
+}
+
+bool engine_connection_pool::is_doubtful(const engine_info& engine) const
+{
+    const auto found = doubtful_.find(engine.id);
+    return found != doubtful_.end() && found->second == engine.started_at_ms;
+}
+
 void engine_connection_pool::close_stale(const fleet_view& view, time_point now)
 {
     std::set<server_id> listed;
@@ -122,6 +138,8 @@
             listed.insert(engine.id);
     std::erase_if(idle_,
                   [&](const auto& one) { return !listed.count(one.first); });
+    std::erase_if(doubtful_,
+                  [&](const auto& one) { return !listed.count(one.first); });
     for (auto& [engine, idle] : idle_)
         std::erase_if(idle,
                       [&](const auto& one) { return is_expired(*one, now); });
--- a/packages/gateway/engine_connection_pool_base.hpp
+++ b/packages/gateway/engine_connection_pool_base.hpp
@@ -32,6 +32,9 @@
     bool sending = false; ///< True until the request was sent without error.
     bool connecting = false;
     bool fresh = true; ///< True until it is first pooled.
+    /** Start of the engine process at its other end, as that says; 0 if it was
+     *  not asked. */
+    std::int64_t confirmed_start_ms = 0;
     /** How long the engine keeps it open idle. */
     duration max_idle_time = default_max_idle_time;
     time_point idle_since{};
@@ -65,6 +68,14 @@
     engine_connection_ptr make();
     /** Adds a connection whose last answer was complete to the idle ones. */
     void keep(engine_connection_ptr connection, time_point now);
+    /** Records that a connection to an engine failed: it may have started anew,
+     *  with other software, and its entry may not be read yet. */
+    void record_doubt(const engine_info& engine);
+    /** @return True after record_doubt() until the entry names another start.
+     */
+    [[nodiscard]] bool is_doubtful(const engine_info& engine) const;
+    /** The engine has confirmed the start that its entry names. */
+    void clear_doubt(const server_id& engine) { doubtful_.erase(engine); }
     /** Closes the idle connections to one engine. */
     void close_idle(const server_id& engine) { idle_.erase(engine); }
     /** Closes idle connections that have expired or whose engine is not in
@@ -75,6 +86,8 @@
     boost::asio::io_context& io_;
     /** Idle connections by engine, newest last. */
     std::map<server_id, std::deque<engine_connection_ptr>> idle_;
+    /** Starts of the engines, in Unix ms, whose connections failed since. */
+    std::map<server_id, std::int64_t> doubtful_;
 };
 
 } // namespace rosemarydeck
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -148,6 +148,13 @@
     [[nodiscard]] bool outlasted_start(time_point now) const;
     void log_failed_send(const placement& chosen,
                          const send_result& result) const;
+    /** @return True unless the engine at the other end has started anew since
+     *  its entry was written: its software may be another then. Asks it if the
+     *  request needs a certain software. */
+    bool is_listed_incarnation(const engine_info& engine);
+    /** Reads the engine's report on engine_connection_. @return Its start in
+     *  Unix ms, or 0 if it doesn't tell; none if no report came. */
+    std::optional<std::int64_t> read_engine_start();
     /** Connects, or takes an idle connection, and sends the request. */
     send_result send(const placement& chosen);
     /** Sends the request on engine_connection_ and relays the answer. */
--- a/packages/gateway/exchange_engine_state.cpp
+++ b/packages/gateway/exchange_engine_state.cpp
@@ -3,9 +3,13 @@
 #include "gateway/exchange_base.hpp"
 
 #include "common/hash_func.hpp"
+#include "platform/platform_config_func.hpp"
 #include "router/request_trait_func.hpp"
+#include "web/fiber_scheduler_base.hpp"
 
 #include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
 
 namespace rosemarydeck
 {
@@ -13,6 +17,11 @@
 namespace
 {
 
+namespace http = boost::beast::http;
+
+/** Time in which an engine reports its start, and the most that it may send. */
+constexpr auto report_timeout = milliseconds(300);
+constexpr std::uint64_t max_report_bytes = 65'536;
 /** Connect time-out of the probe that tells a crashed engine from a lost
  *  connection. Covers a few round trips. */
 constexpr auto crash_probe_timeout = milliseconds(100);
@@ -92,6 +101,61 @@
             {traits(), chosen.engine.incarnation(), sent_at_});
 }
 
+bool exchange::is_listed_incarnation(const engine_info& engine)
+{
+    auto& pool = context_.connection_pool;
+    const bool needs_software =
+        origin_ || (route_->resumable_stream() && pool.is_doubtful(engine));
+    const auto connection = engine_connection_;
+    if (!needs_software || engine.started_at_ms == 0 ||
+        connection->confirmed_start_ms == engine.started_at_ms)
+        return true;
+    const auto start = read_engine_start();
+    context_.metrics.add(counter::engine_start_checks);
+    if (start == engine.started_at_ms) {
+        connection->confirmed_start_ms = engine.started_at_ms;
+        pool.clear_doubt(engine.id);
+        return true;
+    }
+    if (start == 0) // It doesn't tell.
+        return true;
+    pool.record_doubt(engine);
+    context_.log.write("engine_not_as_listed",
+                       {{"req", request_head_.id},
+                        {"engine", engine.id.value()},
+                        {"listed", engine.started_at_ms},
+                        {"started", start.value_or(-1)}});
+    connection->reset();
+    return false;
+}
+
+std::optional<std::int64_t> exchange::read_engine_start()
+{
+    const auto connection = engine_connection_;
+    boost::asio::steady_timer timer(context_.io, report_timeout);
+    timer.async_wait([connection](const boost::system::error_code& stopped) {
+        if (!stopped)
+            connection->reset();
+    });
+    const auto text = platform::engine_report_request();
+    const auto sent = await_io([&](auto handler) {
+        boost::asio::async_write(connection->socket, boost::asio::buffer(text),
+                                 std::move(handler));
+    });
+    answer_parser parser;
+    parser.body_limit(max_report_bytes);
+    const auto read = await_io([&](auto handler) {
+        http::async_read(connection->socket, connection->buffer, parser,
+                         std::move(handler));
+    });
+    timer.cancel();
+    context_.link_bytes.sent += sent.bytes;
+    context_.link_bytes.received += read.bytes;
+    if (sent.fault || read.fault || !parser.get().keep_alive())
+        return std::nullopt;
+    return platform::decode_engine_start(parser.get().body()).value_or(0);
+}
+
 bool exchange::is_cut_off_from(const engine_info& engine)
 {
     std::vector<engine_info> others;
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -50,6 +50,9 @@
     const auto now = context_.clock.now();
     const bool abandoned_here =
         !result.answered && (client_.closed() || timed_out_);
+    if (!abandoned_here && (result.outcome == send_outcome::unreachable ||
+                            result.outcome == send_outcome::broken))
+        context_.connection_pool.record_doubt(chosen.engine);
     context_.selector.release(
         chosen.engine.id, placement_request_,
         abandoned_here ? send_outcome::abandoned : result.outcome, now);
@@ -103,6 +106,8 @@
         if (!opened)
             return {send_outcome::unreachable};
     }
+    if (!is_listed_incarnation(chosen.engine))
+        return {send_outcome::instance_mismatch};
     // On a busy VM the client may have left before its request was read.
     if (client_.detect_close() || timed_out_)
         return {send_outcome::unreachable};
--- a/packages/gateway/gateway_metrics_base.cpp
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -46,6 +46,8 @@
         {"resumes_total", "Streams continued at another engine."},
         {"relays_total", "Requests passed on to another VM."},
         {"engine_connections_total", "Connections opened to engines."},
+        {"engine_start_checks_total",
+         "Reports read to see whether an engine has started anew."},
         {"events_forwarded_total", "Stream events passed to clients."},
         {"tokens_charged_total", "Tokens charged to customers."},
         {"store_calls_total", "Calls to the platform's store."},
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -38,6 +38,7 @@
     resumes,
     relays,
     engine_connections,
+    engine_start_checks,
     events_forwarded,
     tokens_charged,
     store_calls,
