--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -170,6 +170,9 @@
      *  5xx or the client's stream has begun. */
     send_result relay_whole_answer(answer_parser& parser,
                                    const answer_head& head);
+    /** Reads the rest of an answer into memory. @return False if it breaks off
+     *  or is too large beside the answers of other requests. */
+    bool gather_body(answer_parser& parser);
     /** @return True if the answer has the status with which the client's stream
      *  began, and no type of content that rules events out. */
     [[nodiscard]] bool continues_stream(const answer_parser& parser) const;
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -30,6 +30,10 @@
  *  A faulty engine may send bytes without end. */
 constexpr std::uint64_t max_answer_bytes = 8'388'608;
 constexpr std::size_t max_event_bytes = 262'144;
+/** Size of all such answers together from which large ones are given up, and
+ *  what is large then. Many engines of a service may send without end. */
+constexpr std::size_t max_gathered_bytes = 16'777'216;
+constexpr std::size_t large_answer_bytes = 262'144;
 /** Number of answers to earlier requests that are skipped on a connection. */
 constexpr std::size_t max_outdated_answers = 2;
 /** A request ends once it has tried this many engines and the last one was
@@ -242,12 +246,27 @@
             type.starts_with("text/event-stream"));
 }
 
+bool exchange::gather_body(answer_parser& parser)
+{
+    std::size_t counted = 0;
+    bool fits = true;
+    while (fits && !parser.is_done()) {
+        fits = read_some(parser);
+        const auto size = parser.get().body().size();
+        context_.gathered_bytes += size - counted;
+        counted = size;
+        fits = fits && (size < large_answer_bytes ||
+                        context_.gathered_bytes < max_gathered_bytes);
+    }
+    context_.gathered_bytes -= counted;
+    return fits;
+}
+
 exchange::send_result exchange::relay_whole_answer(answer_parser& parser,
                                                    const answer_head& head)
 {
-    while (!parser.is_done())
-        if (!read_some(parser))
-            return {send_outcome::broken};
+    if (!gather_body(parser))
+        return {send_outcome::broken};
     const auto body = std::move(parser.get().body());
     const bool success = head.status < 300;
     const bool framed = !parser.need_eof();
