--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -34,6 +34,22 @@
     return 400;
 }
 
+/** Counts a request as open while it is read, so that a drain waits for it. */
+class open_request_count
+{
+public:
+    explicit open_request_count(traffic_context& context) : context_(context)
+    {
+        ++context_.open_requests;
+    }
+    ~open_request_count() { --context_.open_requests; }
+    open_request_count(const open_request_count&) = delete;
+    open_request_count& operator=(const open_request_count&) = delete;
+
+private:
+    traffic_context& context_;
+};
+
 template <class Number>
 Number number_in(const client_request& request, const char* field)
 {
@@ -47,7 +63,8 @@
 {
     return {number_in<std::uint32_t>(request, relay_sends_field),
             number_in<std::uint64_t>(request, relay_config_field),
-            vm_id(std::string(request[relay_vm_field]))};
+            vm_id(std::string(request[relay_vm_field])),
+            request.find(relay_paid_field) != request.end()};
 }
 
 } // namespace
@@ -72,8 +89,8 @@
         std::optional<relayed_request> relayed;
         if (from_vm_)
             relayed = read_relay_fields(request);
-        for (const auto* field :
-             {relay_sends_field, relay_config_field, relay_vm_field})
+        for (const auto* field : {relay_sends_field, relay_config_field,
+                                  relay_vm_field, relay_paid_field})
             request.erase(field);
         if (from_vm_ && request.target() == config_copy_path) {
             send_config_copy(relayed->config_version);
@@ -128,6 +145,7 @@
         !stream_->read_more(limits.idle_timeout))
         return false;
     received_at_ = context_.clock.now();
+    const open_request_count counted(context_);
     const auto header_deadline = received_at_ + limits.header_timeout;
     while (true) {
         if (parse_buffered(parser))
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -42,6 +42,10 @@
 /** Retry-After for crashes_engines. A block that is wrong ends within seconds
  *  where other requests clear it, or after minutes by a trial. */
 constexpr auto retry_after_blocked = milliseconds(60'000);
+/** Retry-After for stopping. Other VMs take the client at once. */
+constexpr auto retry_after_stopping = milliseconds(100);
+/** Time before the stop by which requests have to end. */
+constexpr auto stop_margin = milliseconds(200);
 /** Minimum remaining time for a send: with less, no engine can start on the
  *  request. */
 constexpr auto min_send_time = milliseconds(15);
@@ -63,8 +67,9 @@
     ++context_.open_requests;
     request_head_ = platform::decode_request(request_);
     initial_event_id_ = last_event_id_ = request_head_.resume_after.value_or(0);
-    stream_ = initial_event_id_ == 0 ? stream_id(request_head_.id)
-                                     : request_head_.resumed_stream;
+    stream_ = stream_key(initial_event_id_ == 0
+                             ? request_head_.id
+                             : request_head_.resumed_stream.value());
     view_ = context_.view;
     keep_alive_ = request_.keep_alive() && !context_.draining &&
                   !context_.out_of_rotation;
@@ -126,6 +131,11 @@
     if (request_head_.deadline)
         timeout = std::min(timeout, *request_head_.deadline);
     deadline_ = started_ + timeout;
+    if (may_outlast_stop()) {
+        refuse(503, counter::refused_stopping, "stopping",
+               retry_after_stopping);
+        return false;
+    }
     service_ = choose_service();
     if (!find_stream_origin())
         return false;
@@ -153,10 +163,25 @@
     return false;
 }
 
+bool exchange::may_outlast_stop() const
+{
+    if (!context_.draining ||
+        deadline_ + duration(stop_margin) <= context_.stop_at)
+        return false;
+    // A client that the load balancer sent here can repeat what is cut off.
+    return !route_->repeatable() ||
+           context_.clock.now() > context_.balancer_left_at;
+}
+
 bool exchange::reserve()
 {
-    if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt)
+    if (customer_ == nullptr || !customer_->prepaid || !route_->has_prompt ||
+        (relayed_ && relayed_->paid))
         return true;
+    if (!request_head_.valid_token_count) {
+        refuse(400, counter::refused_token_count, "token_count");
+        return false;
+    }
     const auto charge = request_head_.max_charge();
     if (is_budget_kept()) {
         refuse(503, counter::refused_budget_kept, "budget_kept",
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -73,6 +73,8 @@
 
     bool admit();
     bool authenticate();
+    /** @return True if this VM may stop before the request has ended. */
+    [[nodiscard]] bool may_outlast_stop() const;
     /** Reserves the maximum charge if the request falls under a budget. */
     bool reserve();
     /** @return True if the rest of the budget is kept for requests that are
@@ -146,6 +148,13 @@
     [[nodiscard]] bool outlasted_start(time_point now) const;
     void log_failed_send(const placement& chosen,
                          const send_result& result) const;
+    /** @return True unless the engine at the other end has started anew since
+     *  its entry was written: its software may be another then. Asks it if the
+     *  request needs a certain software. */
+    bool is_listed_incarnation(const engine_info& engine);
+    /** Reads the engine's report on engine_connection_. @return Its start in
+     *  Unix ms, or 0 if it doesn't tell; none if no report came. */
+    std::optional<std::int64_t> read_engine_start();
     /** Connects, or takes an idle connection, and sends the request. */
     send_result send(const placement& chosen);
     /** Sends the request on engine_connection_ and relays the answer. */
@@ -161,6 +170,9 @@
      *  5xx or the client's stream has begun. */
     send_result relay_whole_answer(answer_parser& parser,
                                    const answer_head& head);
+    /** Reads the rest of an answer into memory. @return False if it breaks off
+     *  or is too large beside the answers of other requests. */
+    bool gather_body(answer_parser& parser);
     /** @return True if the answer has the status with which the client's stream
      *  began, and no type of content that rules events out. */
     [[nodiscard]] bool continues_stream(const answer_parser& parser) const;
@@ -192,14 +204,13 @@
     /** @return True if another VM may serve the request. Each request is passed
      *  on once at most. */
     [[nodiscard]] bool may_relay() const;
-    /** Reserves again what was released for another VM to reserve.
-     *  @return False if headroom is short. */
-    bool restore_reservation();
     /** Passes the request on to other VMs until one reaches an engine. */
     void relay();
     /** Passes the request on to one VM, and its answer to the client. */
     relay_outcome relay_to(const relay_peer& peer);
     std::string encode_for_vm() const;
+    /** Counts the events of another VM's answer, which this VM charges. */
+    void count_passed_events(event_splitter& splitter, const std::string& body);
     /** Passes on another VM's answer. @return True if it is whole. */
     bool pass_on_answer(answer_parser& parser);
     /** Tries in the background whether an engine can be reached again. */
@@ -268,6 +279,7 @@
     /** Set if another VM passed the request on. */
     std::optional<relayed_request> relayed_;
     bool relay_answered_ = false; ///< Another VM gave the whole answer.
+    bool hop_broke_ = false;      ///< Another VM broke off without an answer.
     unsigned relayed_status_ = 0; ///< HTTP status of another VM's answer.
     bool is_trial_ = false;       ///< Sent although it is blocked.
     bool stream_started_ = false;
--- a/packages/ledger/wallet_base.cpp
+++ b/packages/ledger/wallet_base.cpp
@@ -48,9 +48,9 @@
     auto& known = entries_[customer];
     auto& usage = known.usage;
     usage.max_reservation = std::max(usage.max_reservation, tokens);
-    if (known.first_seen == time_point{})
-        known.first_seen = now;
-    if (usage.spent + usage.reserved + tokens > known.limit(now)) {
+    if (tokens < 0)
+        return false;
+    if (tokens > known.limit(now) - usage.spent - usage.reserved) {
         usage.unmet_demand = std::max(usage.unmet_demand, tokens);
         return false;
     }
@@ -65,8 +65,6 @@
     auto& known = entries_[customer];
     auto& usage = known.usage;
     usage.max_reservation = std::max(usage.max_reservation, min_tokens);
-    if (known.first_seen == time_point{})
-        known.first_seen = now;
     const auto headroom = known.limit(now) - usage.spent - usage.reserved;
     if (headroom < min_tokens) {
         usage.unmet_demand = std::max(usage.unmet_demand, min_tokens);
@@ -160,9 +158,6 @@
         known.rate_sample_at = now;
         known.rate_sample_spent = usage.spent;
     }
-    if (known.first_seen != time_point{})
-        usage.seen_seconds =
-            std::chrono::duration<double>(now - known.first_seen).count();
     auto result = usage;
     result.unmet_demand = std::max(result.unmet_demand, known.waiting);
     usage.unmet_demand = 0;
@@ -231,9 +226,9 @@
     if (found == entries_.end())
         return std::nullopt;
     const auto& known = found->second;
-    const auto needed = known.usage.spent + known.usage.reserved + tokens;
+    const auto used = known.usage.spent + known.usage.reserved;
     for (duration wait{}; wait <= max; wait += headroom_forecast_step)
-        if (known.limit(now + wait) >= needed)
+        if (known.limit(now + wait) - used >= tokens)
             return wait;
     return std::nullopt;
 }
