--- a/packages/ledger/ledger_layout_func.cpp
+++ b/packages/ledger/ledger_layout_func.cpp
@@ -39,11 +39,11 @@
 constexpr spending_slack home_full_slack{.max_burst_fraction = 1,
                                          .max_slope_fraction = 1,
                                          .slope_factor = 2.5,
-                                         .outage_seconds = 20};
+                                         .outage_seconds = 16};
 constexpr spending_slack home_low_slack{.max_burst_fraction = 0.03,
                                         .max_slope_fraction = 0.04,
                                         .slope_factor = 1.3,
-                                        .outage_seconds = 12};
+                                        .outage_seconds = 8};
 /** Home VMs in other data centres release headroom at their own renewals. */
 constexpr std::chrono::milliseconds home_shortage_backoff{2'000};
 
