--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -126,11 +126,7 @@
                retry_after_blocked);
         return false;
     }
-    auto timeout = route_->timeout > milliseconds(0) ? route_->timeout
-                                                     : milliseconds(60'000);
-    if (request_head_.deadline)
-        timeout = std::min(timeout, *request_head_.deadline);
-    deadline_ = started_ + timeout;
+    set_deadline();
     if (may_outlast_stop()) {
         refuse(503, counter::refused_stopping, "stopping",
                retry_after_stopping);
@@ -139,19 +135,33 @@
     service_ = choose_service();
     if (!find_stream_origin())
         return false;
-    placement_request_.service = service_;
-    placement_request_.input = request_head_.input_tokens;
-    placement_request_.output = request_head_.max_output_tokens;
-    if (route_->has_prompt) {
-        placement_request_.shared_prefix_id = request_head_.shared_prefix();
-        placement_request_.shared = request_head_.shared_tokens();
-    }
+    set_placement_request();
     // Counted where the client sent it.
     if (!relayed_)
         context_.retries.record_request(service_, context_.clock.now());
     return reserve();
 }
 
+void exchange::set_deadline()
+{
+    auto timeout = route_->timeout > milliseconds(0) ? route_->timeout
+                                                     : milliseconds(60'000);
+    if (request_head_.deadline)
+        timeout = std::min(timeout, *request_head_.deadline);
+    deadline_ = started_ + timeout;
+}
+
+void exchange::set_placement_request()
+{
+    placement_request_.service = service_;
+    placement_request_.input = request_head_.input_tokens;
+    placement_request_.output = request_head_.max_output_tokens;
+    if (!route_->has_prompt)
+        return;
+    placement_request_.shared_prefix_id = request_head_.shared_prefix();
+    placement_request_.shared = request_head_.shared_tokens();
+}
+
 bool exchange::authenticate()
 {
     if (!route_->needs_key || config_->config().customers.empty())
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -73,6 +73,10 @@
 
     bool admit();
     bool authenticate();
+    /** Sets the deadline to the end of the route's or the client's time,
+     *  whichever is first. */
+    void set_deadline();
+    void set_placement_request();
     /** @return True if this VM may stop before the request has ended. */
     [[nodiscard]] bool may_outlast_stop() const;
     /** Reserves the maximum charge if the request falls under a budget. */
@@ -208,6 +212,10 @@
     void relay();
     /** Passes the request on to one VM, and its answer to the client. */
     relay_outcome relay_to(const relay_peer& peer);
+    /** @param may_have_run_before Before the hop.
+     *  @return What became of the hop, with the answer passed on if any. */
+    relay_outcome read_relayed_answer(const relay_peer& peer,
+                                      bool may_have_run_before);
     std::string encode_for_vm() const;
     /** Counts the events of another VM's answer, which this VM charges. */
     void count_passed_events(event_splitter& splitter, const std::string& body);
--- a/packages/gateway/exchange_relay.cpp
+++ b/packages/gateway/exchange_relay.cpp
@@ -213,6 +213,12 @@
                                  boost::asio::buffer(text), std::move(handler));
     });
     context_.link_bytes.sent += sent.bytes;
+    return read_relayed_answer(peer, may_have_run_before);
+}
+
+relay_outcome exchange::read_relayed_answer(const relay_peer& peer,
+                                            bool may_have_run_before)
+{
     answer_parser parser;
     parser.body_limit(boost::none);
     if (request_.method() == http::verb::head)
