--- a/tests/daemons/gateway_harness.py
+++ b/tests/daemons/gateway_harness.py
@@ -54,7 +54,8 @@
 front = "127.0.0.1:0"
 ready = "127.0.0.1:0"
 [limits]
-memory_mb = 100
+memory_mb = {vm.memory_mb}
+max_fds = {vm.max_fds}
 link_mbps = {vm.link_mbps}
 [bounds]
 grace_s = 8
@@ -115,6 +116,7 @@
         self.build = fleet.BUILD
         self.writes_per_s = 400
         self.link_mbps, self.contact_ms = 1000, 3000
+        self.memory_mb, self.max_fds = 100, 1024
         self.more_bounds = ""  # Lines of the settings file.
         self.zones = ""        # The same.
         self.vm, self.peer_port, self.relay_port = "vm-a", 0, 0
