Decide in one account who may use memory and who yields

Cause: nothing adds up what connections make the process keep, so a crowd of clients that each stay inside their limits can fill the memory of a VM.

Change: memory_account, a decision without I/O. Each connection is an entry that is charged before memory is allocated for it: a fixed part for its fiber, buffers and what the kernel receives ahead, and what its request and answer take, with the copy that a growing buffer makes. Half of the VM's memory may be used; connections beyond 192 KiB share three quarters of that, unfinished requests among them half, so that an ordinary request finds room. When it is short, the connection yields that has made no progress (4 KiB) longest, half a second at least; unfinished large requests also yield to an answer; one whose request is handled never yields. Clients may have as many connections as half of the descriptors, readiness checks have their own.

Not used yet.

--- /dev/null
+++ b/packages/router/memory_account_base.cpp
@@ -0,0 +1,237 @@
+/** @file memory_account_base.cpp Memory and connections that peers may make the
+ *  process keep. */
+#include "router/memory_account_base.hpp"
+
+#include <algorithm>
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+constexpr std::size_t kibibyte = 1'024;
+constexpr std::size_t mebibyte = 1'024 * kibibyte;
+/** Assumed memory of a VM whose settings don't tell. */
+constexpr std::size_t default_memory_bytes = 256 * mebibyte;
+/** Descriptors that neither clients nor engines may use: files, ports, the
+ *  store and other VMs. */
+constexpr std::size_t reserved_descriptors = 300;
+constexpr std::size_t min_clients = 16;
+/** Time without progress after which a connection may have to yield. */
+constexpr auto stall_time = std::chrono::milliseconds(500);
+/** Bytes that count as progress: fewer may be sent to keep a place. */
+constexpr std::size_t min_progress_bytes = 4 * kibibyte;
+
+} // namespace
+
+memory_limits memory_limits_for(std::size_t memory_bytes,
+                                std::size_t max_descriptors)
+{
+    const auto capacity =
+        (memory_bytes == 0 ? default_memory_bytes : memory_bytes) / 2;
+    const auto descriptors =
+        max_descriptors - std::min(max_descriptors, reserved_descriptors);
+    return {.capacity_bytes = capacity,
+            .ordinary_bytes = 192 * kibibyte,
+            .max_upload_bytes = capacity / 2,
+            .max_answer_bytes = capacity / 4 * 3,
+            .connection_bytes = 64 * kibibyte,
+            .engine_bytes = 32 * kibibyte,
+            // Each client may need a connection to an engine.
+            .max_clients = std::max(min_clients, descriptors / 2),
+            .max_checks = 32};
+}
+
+std::size_t grown_bytes(std::size_t size, std::size_t capacity,
+                        std::size_t more)
+{
+    if (size + more <= capacity)
+        return capacity;
+    return capacity + std::max(2 * capacity, size + more);
+}
+
+std::size_t memory_account::used_bytes() const
+{
+    const std::scoped_lock lock(mutex_);
+    return used_.all;
+}
+
+std::size_t memory_account::connections() const
+{
+    const std::scoped_lock lock(mutex_);
+    return holders_.size();
+}
+
+std::size_t memory_account::count(peer_kind kind) const
+{
+    return kind == peer_kind::client ? clients_ : holders_.size() - clients_;
+}
+
+bool memory_account::has_room(peer_kind kind) const
+{
+    if (kind == peer_kind::check)
+        return count(kind) < limits_.max_checks;
+    return count(kind) < limits_.max_clients &&
+           used_.all + limits_.connection_bytes <= limits_.capacity_bytes;
+}
+
+void memory_account::add(total& sum, std::size_t bytes) const
+{
+    sum.all += bytes;
+    sum.large += bytes > limits_.ordinary_bytes ? bytes : 0;
+}
+
+void memory_account::subtract(total& sum, std::size_t bytes) const
+{
+    sum.all -= bytes;
+    sum.large -= bytes > limits_.ordinary_bytes ? bytes : 0;
+}
+
+holder_id memory_account::open(peer_kind kind, std::function<void(bool)> yield,
+                               time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    while (!has_room(kind)) {
+        const auto found = choose(0, kind, false, 0, now);
+        if (found == holders_.end())
+            return 0;
+        found->second.yield(true);
+        remove(found);
+    }
+    add(used_, limits_.connection_bytes);
+    clients_ += kind == peer_kind::client ? 1 : 0;
+    holders_.emplace(++last_id_,
+                     memory_holder{.kind = kind,
+                                   .bytes = limits_.connection_bytes,
+                                   .progress_at = now,
+                                   .yield = std::move(yield)});
+    return last_id_;
+}
+
+void memory_account::close(holder_id id)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = holders_.find(id);
+    if (found != holders_.end())
+        remove(found);
+}
+
+void memory_account::remove(holders::iterator at)
+{
+    const auto& holder = at->second;
+    subtract(used_, holder.bytes);
+    if (holder.yielding)
+        subtract(leaving_, holder.bytes);
+    clients_ -= holder.kind == peer_kind::client ? 1 : 0;
+    holders_.erase(at);
+}
+
+void memory_account::set_state(holder_id id, peer_state state, time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = holders_.find(id);
+    if (found == holders_.end())
+        return;
+    auto& holder = found->second;
+    holder.state = state;
+    holder.progress_at = now;
+    holder.progress_bytes = 0;
+}
+
+void memory_account::record_progress(holder_id id, std::size_t bytes,
+                                     time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = holders_.find(id);
+    if (found == holders_.end())
+        return;
+    auto& holder = found->second;
+    holder.progress_bytes += bytes;
+    if (holder.progress_bytes < min_progress_bytes)
+        return;
+    holder.progress_bytes = 0;
+    holder.progress_at = now;
+}
+
+memory_result memory_account::charge(holder_id id, std::size_t bytes,
+                                     time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto self = holders_.find(id);
+    if (self == holders_.end())
+        return memory_result::refused;
+    auto& holder = self->second;
+    const auto wanted = bytes + limits_.connection_bytes;
+    const bool for_answer = holder.state != peer_state::reading;
+    const auto max_large = wanted <= limits_.ordinary_bytes
+                               ? limits_.capacity_bytes
+                           : for_answer ? limits_.max_answer_bytes
+                                        : limits_.max_upload_bytes;
+    auto after = used_;
+    subtract(after, holder.bytes);
+    add(after, wanted);
+    if (wanted <= holder.bytes ||
+        (after.all <= limits_.capacity_bytes && after.large <= max_large)) {
+        used_ = after;
+        if (holder.yielding) {
+            subtract(leaving_, holder.bytes);
+            add(leaving_, wanted);
+        }
+        holder.bytes = wanted;
+        return memory_result::charged;
+    }
+    while (true) {
+        const bool too_large = after.large - leaving_.large > max_large;
+        if (!too_large && after.all - leaving_.all <= limits_.capacity_bytes)
+            return memory_result::wait;
+        const auto found =
+            choose(id, holder.kind, for_answer,
+                   too_large ? limits_.ordinary_bytes + 1 : 0, now);
+        if (found == holders_.end())
+            return memory_result::refused;
+        found->second.yielding = true;
+        add(leaving_, found->second.bytes);
+        found->second.yield(false);
+    }
+}
+
+bool memory_account::may_yield(const memory_holder& holder, bool for_answer,
+                               time_point now) const
+{
+    const bool stalled = now - holder.progress_at >= duration(stall_time);
+    switch (holder.state) {
+    case peer_state::served:
+        return false;
+    case peer_state::reading:
+        return stalled || (for_answer && holder.bytes > limits_.ordinary_bytes);
+    case peer_state::refusing:
+        return true;
+    default:
+        return stalled;
+    }
+}
+
+memory_account::holders::iterator
+memory_account::choose(holder_id asking, peer_kind kind, bool for_answer,
+                       std::size_t min_bytes, time_point now)
+{
+    auto chosen = holders_.end();
+    for (auto one = holders_.begin(); one != holders_.end(); ++one) {
+        const auto& holder = one->second;
+        // Told once, a connection yields again only by being closed.
+        const bool told = holder.yielding && asking != 0;
+        if (one->first == asking || holder.kind != kind || told ||
+            holder.bytes < min_bytes || !may_yield(holder, for_answer, now))
+            continue;
+        const bool first = chosen == holders_.end() ||
+                           holder.progress_at < chosen->second.progress_at ||
+                           (holder.progress_at == chosen->second.progress_at &&
+                            holder.bytes > chosen->second.bytes);
+        if (first)
+            chosen = one;
+    }
+    return chosen;
+}
+
+} // namespace rosemarydeck
