Refuse chunk lines and trailers that do not end

Callers saw a router that grew as fast as a client sent: 12 clients with 8 MB of trailers, of one trailer line, of a chunk extension or of leading zeros of a chunk size took 97 to 99 MB of a VM of 64 MB.

Cause: the parser's limits cover the header and the decoded body. A chunk's size line with its extension, and the trailers, are parsed only once their end has arrived; until then all of it stays in the connection's buffer.

Change: what stays unparsed behind a header is bounded by the configured size of a header; beyond it the request is refused with 431 and not run. Such a line is searched again with each read, so the bound also ends that.

--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -150,6 +150,11 @@
     while (true) {
         if (parse_buffered(parser))
             return true;
+        // Only a chunk's size line or trailers that have no end yet stay
+        // unparsed.
+        if (!parse_error_ && parser.is_header_done() &&
+            stream_->buffer().size() > limits.max_header_bytes)
+            parse_error_ = http::error::header_limit;
         if (parse_error_) {
             refuse_unreadable(status_of_parse_error(parse_error_));
             return false;
