Charge connections and requests to the account before they are kept

Callers saw a router that 48 unfinished bodies of 2 MB took to 103 to 121 MB of a VM of 64 MB, and that kept each connection that a client opened: 1,000 took 1,020 of 600 descriptors. At the limit, connections to engines and to the store fail too.

Cause: each connection had its limits, all together had none. A body that stays short of its end is kept for as long as a byte comes every 5 s, also beyond its request's own deadline.

Change: a connection is entered in the account before it is served, and its buffer, header (fields, what is decoded from them) and body are charged before they grow. A request that finds no room, or that has to yield, gets 503 memory_short with Retry-After 1 s, or is closed with that answer when its descriptor is needed; nothing of it was sent to an engine. A connection for which there is no place is closed unread.

--- a/packages/gateway/client_stream_base.cpp
+++ b/packages/gateway/client_stream_base.cpp
@@ -15,17 +15,91 @@
 
 /** A client that acknowledges nothing for this long counts as gone. */
 constexpr auto dead_peer_timeout = std::chrono::seconds(5);
+/** Pause in which connections that were told to yield do so, and the number of
+ *  pauses: one whose fiber waits for the link may take longer. */
+constexpr auto yield_pause = std::chrono::milliseconds(2);
+constexpr int max_yield_pauses = 50;
+/** Capacity up to which an empty buffer is kept for the next request. */
+constexpr std::size_t max_kept_buffer_bytes = 16'384;
+constexpr std::size_t max_write_bytes = 65'536; ///< Of one call.
 
 } // namespace
 
-client_stream::client_stream(boost::asio::ip::tcp::socket socket,
-                             link_traffic& traffic)
-    : socket_(std::move(socket)), traffic_(traffic),
+client_stream::client_stream(boost::asio::io_context& io,
+                             boost::asio::ip::tcp::socket socket,
+                             link_traffic& traffic, memory_account& memory)
+    : io_(io), socket_(std::move(socket)), traffic_(traffic), memory_(memory),
       timer_(socket_.get_executor())
 {
     enable_dead_peer_detection(socket_, dead_peer_timeout);
 }
 
+client_stream::~client_stream()
+{
+    memory_.close(holder_);
+}
+
+bool client_stream::enter()
+{
+    holder_ = memory_.open(
+        peer_kind::client,
+        [weak = weak_from_this()](bool at_once) {
+            if (const auto self = weak.lock())
+                self->yield(at_once);
+        },
+        clock_.now());
+    return holder_ != 0;
+}
+
+bool client_stream::charge(std::size_t bytes)
+{
+    if (bytes == charged_)
+        return true;
+    for (int pause = 0; pause < max_yield_pauses; ++pause) {
+        const auto result = memory_.charge(holder_, bytes, clock_.now());
+        if (result == memory_result::charged)
+            charged_ = bytes;
+        if (result != memory_result::wait)
+            return result == memory_result::charged;
+        fiber_sleep(io_, yield_pause);
+        if (closed_ || yielded_)
+            return false;
+    }
+    return false;
+}
+
+void client_stream::set_state(peer_state state)
+{
+    state_ = state;
+    memory_.set_state(holder_, state, clock_.now());
+}
+
+void client_stream::trim_buffer()
+{
+    if (buffer_.size() == 0 && buffer_.capacity() > max_kept_buffer_bytes)
+        buffer_.shrink_to_fit();
+}
+
+void client_stream::yield(bool at_once)
+{
+    if (state_ == peer_state::reading && at_once)
+        return close_with_answer();
+    if (state_ == peer_state::idle)
+        return close();
+    if (state_ != peer_state::reading)
+        return abort();
+    yielded_ = true;
+    wake();
+}
+
+void client_stream::close_with_answer()
+{
+    boost::system::error_code ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.send(boost::asio::buffer(parting_answer_), 0, ignored);
+    close();
+}
+
 void client_stream::start_read()
 {
     if (read_pending_ || closed_)
@@ -39,6 +113,8 @@
             self->traffic_.received += bytes;
             if (fault)
                 return self->handle_end();
+            self->memory_.record_progress(self->holder_, bytes,
+                                          self->clock_.now());
             const auto space = self->buffer_.prepare(bytes);
             std::memcpy(space.data(), self->read_chunk_.data(), bytes);
             self->buffer_.commit(bytes);
@@ -80,7 +156,7 @@
     const auto size_before = buffer_.size();
     timed_out_ = false;
     start_read();
-    if (closed_)
+    if (closed_ || yielded_)
         return false;
     timer_.expires_after(timeout);
     timer_.async_wait([self = shared_from_this(), operation = ++operation_](
@@ -98,7 +174,8 @@
     return buffer_.size() > size_before;
 }
 
-bool client_stream::write(const std::string& bytes, duration timeout)
+bool client_stream::write(std::string_view head, std::string_view body,
+                          duration timeout)
 {
     if (closed_)
         return false;
@@ -108,12 +185,25 @@
         if (!stopped && self->operation_ == operation)
             self->abort();
     });
+    const auto state_before = state_;
+    if (state_ != peer_state::refusing)
+        set_state(peer_state::writing);
+    std::size_t written = 0;
+    const auto record = [&](const boost::system::error_code& fault,
+                            std::size_t total) -> std::size_t {
+        memory_.record_progress(holder_, total - std::exchange(written, total),
+                                clock_.now());
+        return fault ? 0 : max_write_bytes;
+    };
+    const std::array buffers{
+        boost::asio::const_buffer(head.data(), head.size()),
+        boost::asio::const_buffer(body.data(), body.size())};
     const auto done = await_io([&](auto handler) {
-        boost::asio::async_write(socket_, boost::asio::buffer(bytes),
-                                 std::move(handler));
+        boost::asio::async_write(socket_, buffers, record, std::move(handler));
     });
     ++operation_;
     timer_.cancel();
+    set_state(state_before);
     traffic_.sent += done.bytes;
     if (done.fault)
         closed_ = true;
@@ -137,11 +227,12 @@
 {
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    runtime_clock clock;
-    const auto deadline = clock.now() + timeout;
+    yielded_ = false;
+    const auto deadline = clock_.now() + timeout;
     do {
         buffer_.consume(buffer_.size());
-    } while (clock.now() < deadline && read_more(deadline - clock.now()));
+        trim_buffer();
+    } while (clock_.now() < deadline && read_more(deadline - clock_.now()));
 }
 
 void client_stream::abort()
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -42,6 +42,8 @@
 /** Retry-After for crashes_engines. A block that is wrong ends within seconds
  *  where other requests clear it, or after minutes by a trial. */
 constexpr auto retry_after_blocked = milliseconds(60'000);
+/** Retry-After for memory_short: other requests end within seconds. */
+constexpr auto retry_after_memory = milliseconds(1'000);
 /** Retry-After for stopping. Other VMs take the client at once. */
 constexpr auto retry_after_stopping = milliseconds(100);
 /** Time before the stop by which requests have to end. */
@@ -57,6 +59,7 @@
                    std::optional<relayed_request> relayed)
     : context_(context), client_(client), request_(request),
       started_(received_at), timer_(context.io),
+      request_bytes_(client.charged()),
       send_count_(relayed ? relayed->sends : 0), relayed_(std::move(relayed))
 {
 }
@@ -132,6 +135,12 @@
                retry_after_stopping);
         return false;
     }
+    if (!client_.charge(request_bytes_ +
+                        context_.memory.limits().engine_bytes)) {
+        refuse(503, counter::refused_memory, "memory_short",
+               retry_after_memory);
+        return false;
+    }
     service_ = choose_service();
     if (!find_stream_origin())
         return false;
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -264,6 +264,7 @@
     time_point deadline_{};
     boost::asio::steady_timer timer_;
     bool timed_out_ = false;
+    std::size_t request_bytes_; ///< Charged for the request itself.
 
     token_count reserved_tokens_ = 0;
     bool reserved_from_credit_ = false;
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -37,12 +37,15 @@
 constexpr auto load_poll_interval = milliseconds(125);
 constexpr auto settings_poll_interval = milliseconds(2'000);
 constexpr auto connection_idle_timeout = std::chrono::seconds(10);
+constexpr std::uint64_t bytes_per_mb = 1'048'576;
 
 } // namespace
 
 gateway::gateway(gateway_settings settings, std::string settings_path)
     : settings_(std::move(settings)), settings_path_(std::move(settings_path)),
-      log_(settings_.vm.value())
+      log_(settings_.vm.value()),
+      memory_(memory_limits_for(settings_.memory_mb * bytes_per_mb,
+                                settings_.max_descriptors))
 {
 }
 
@@ -63,9 +66,9 @@
     control_ = std::make_unique<control_service>(io_, std::move(options),
                                                  wallet_, credit_pool_,
                                                  streams_, log_, metrics_);
-    traffic_ = std::make_unique<traffic_service>(settings_, wallet_,
-                                                 credit_pool_, streams_, log_,
-                                                 metrics_, make_callbacks());
+    traffic_ = std::make_unique<traffic_service>(
+        settings_, wallet_, credit_pool_, streams_, log_, metrics_, memory_,
+        make_callbacks());
     const auto opened = open_ports();
     if (!opened) {
         log_.write("stop", {{"why", describe(opened.error())}});
--- a/packages/gateway/gateway_base.hpp
+++ b/packages/gateway/gateway_base.hpp
@@ -46,6 +46,7 @@
     boost::asio::ip::tcp::acceptor metrics_port_{io_};
     event_log log_;
     gateway_metrics metrics_;
+    memory_account memory_;
     wallet wallet_;
     credit_pool credit_pool_;
     stream_registry streams_;
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -31,6 +31,8 @@
     refused_engines_full,
     refused_crashing,
     refused_unknown_origin,
+    refused_memory,
+    connections_refused,
     clients_gone,
     sends,
     retries,
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -11,6 +11,7 @@
 #include "router/crash_record_base.hpp"
 #include "router/engine_selector_base.hpp"
 #include "router/link_load_base.hpp"
+#include "router/memory_account_base.hpp"
 #include "router/relay_selector_base.hpp"
 #include "router/retry_budget_base.hpp"
 #include "router/stream_registry_base.hpp"
@@ -58,8 +59,8 @@
 };
 
 /** State of the traffic thread, shared by all client connections. No other
- *  thread may access it; the wallet, credit, streams, log and metrics that it
- * refers to may be used from any thread. */
+ *  thread may access it; the wallet, credit, streams, log, metrics and account
+ *  that it refers to may be used from any thread. */
 struct traffic_context
 {
     boost::asio::io_context& io;
@@ -69,6 +70,7 @@
     stream_registry& streams;
     event_log& log;
     gateway_metrics& metrics;
+    memory_account& memory;
     control_callbacks control;
 
     runtime_clock clock{};
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -27,6 +27,7 @@
                                  wallet& local_wallet, credit_pool& credit,
                                  stream_registry& streams, event_log& log,
                                  gateway_metrics& metrics,
+                                 memory_account& memory,
                                  control_callbacks callbacks)
     : context_{.io = io_,
                .settings = settings,
@@ -35,6 +36,7 @@
                .streams = streams,
                .log = log,
                .metrics = metrics,
+               .memory = memory,
                .control = std::move(callbacks)}
 {
 }
@@ -94,8 +96,14 @@
 void traffic_service::start_connection(boost::asio::ip::tcp::socket socket,
                                        bool from_vm)
 {
-    auto serve_client = [this, from_vm, socket = std::move(socket)]() mutable {
-        client_connection connection(context_, std::move(socket), from_vm);
+    auto stream = std::make_shared<client_stream>(
+        io_, std::move(socket), context_.link_bytes, context_.memory);
+    if (!stream->enter()) {
+        context_.metrics.add(counter::connections_refused);
+        return stream->abort();
+    }
+    auto serve_client = [this, from_vm, stream = std::move(stream)]() mutable {
+        client_connection connection(context_, std::move(stream), from_vm);
         connections_.insert(&connection);
         connection.run();
         connections_.erase(&connection);
