Bound what the kernel buffers for a connection

Callers saw a router that 40 clients who read no event of their streams took to 117 MB of a VM of 64 MB, while the process itself held little.

Cause: the kernel's buffers grow to some MB for each connection. What it has received and the process not yet read counts towards the VM's memory, so an engine that sends faster than a client reads fills it.

--- a/packages/gateway/engine_connection_pool_base.cpp
+++ b/packages/gateway/engine_connection_pool_base.cpp
@@ -15,6 +15,9 @@
 {
 
 constexpr std::size_t max_idle_per_engine = 6;
+/** Bytes that the kernel receives ahead from an engine whose answer's client
+ *  reads slowly. */
+constexpr int receive_buffer_bytes = 65'536;
 /** Time after which unanswered keep-alive probes close a connection to a
  *  vanished engine; two probes are lost by then. */
 constexpr auto dead_peer_timeout = std::chrono::seconds(3);
@@ -88,6 +91,12 @@
         return failed(fault.message());
     connection->engine = engine.id;
     connection->connecting = true;
+    connection->socket.open(boost::asio::ip::tcp::v4(), fault);
+    if (fault)
+        return failed(fault.message());
+    connection->socket.set_option(
+        boost::asio::socket_base::receive_buffer_size(receive_buffer_bytes),
+        fault);
     boost::asio::steady_timer timer(io_, timeout);
     timer.async_wait([connection](const boost::system::error_code& stopped) {
         boost::system::error_code ignored;
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -38,6 +38,8 @@
 constexpr auto settings_poll_interval = milliseconds(2'000);
 constexpr auto connection_idle_timeout = std::chrono::seconds(10);
 constexpr std::uint64_t bytes_per_mb = 1'048'576;
+/** What the kernel buffers for a readiness check in each direction. */
+constexpr int check_buffer_bytes = 32'768;
 
 } // namespace
 
@@ -157,7 +159,7 @@
 expected<std::uint16_t> gateway::open(boost::asio::ip::tcp::acceptor& acceptor,
                                       const endpoint& at)
 {
-    auto port = listen_on(acceptor, at);
+    auto port = listen_on(acceptor, at, check_buffer_bytes);
     if (port)
         boost::fibers::fiber(boost::fibers::launch::post, [this, &acceptor] {
             serve_checks(acceptor);
--- a/packages/gateway/listener_func.cpp
+++ b/packages/gateway/listener_func.cpp
@@ -5,7 +5,7 @@
 {
 
 expected<std::uint16_t> listen_on(boost::asio::ip::tcp::acceptor& acceptor,
-                                  const endpoint& local)
+                                  const endpoint& local, int buffer_bytes)
 {
     using boost::asio::ip::tcp;
     boost::system::error_code fault;
@@ -14,6 +14,15 @@
         acceptor.open(tcp::v4(), fault);
     if (!fault)
         acceptor.set_option(tcp::acceptor::reuse_address(true), fault);
+    // Accepted sockets inherit the sizes.
+    boost::system::error_code ignored;
+    if (!fault) {
+        acceptor.set_option(
+            boost::asio::socket_base::receive_buffer_size(buffer_bytes),
+            ignored);
+        acceptor.set_option(
+            boost::asio::socket_base::send_buffer_size(buffer_bytes), ignored);
+    }
     if (!fault)
         acceptor.bind({address, local.port}, fault);
     if (!fault)
