Charge answers to the account until their clients have read them

Callers saw a router that 60 clients who ask for answers of 2 MB and read none took to 120 MB of a VM of 64 MB (249 MB once the kernel buffers less).

Cause: answers were counted while they were gathered only, and held twice while they were written, as body and as text; the limit of 16 MiB was the same on each VM. The body of a request was held once more for each try and hop.

Change: an answer is charged to the account before it grows and until it is written; head and body are written without joining them, to clients, engines and other VMs. An answer that finds no room waits up to 1 s for others to yield, unfinished requests and clients that read nothing for half a second; then its request ends with 502 answer_too_large and is not sent again, since a repeat would find no room either. The event that a hop collects is bounded.

Result: test_answers_that_are_not_read_do_not_fill_the_memory failed before and passes here; gateway_memory_test.py (bodies without end from engines) and the single request and answer of 4 MiB pass (one run each).

--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -379,7 +379,7 @@
 
 bool exchange::is_finished() const
 {
-    return answered_ || timed_out_ || client_.closed() ||
+    return answered_ || timed_out_ || memory_short_ || client_.closed() ||
            time_left() < min_send_time;
 }
 
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -51,6 +51,13 @@
     using answer_parser =
         boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    /** An answer in memory. */
+    struct whole_answer
+    {
+        std::string head; ///< Status line and header, with the empty line.
+        std::string body;
+    };
+
     /** Result of one send to an engine. */
     struct send_result
     {
@@ -60,9 +67,9 @@
          *  may also end because the engine went down. */
         bool served_whole = false;
         bool ended_by_close = false; ///< The answer had no length or chunks.
-        /** Answer as text that was not relayed to the client: one with a 5xx
-         *  status, or an error after the client's stream had begun. */
-        std::optional<std::string> failure_answer;
+        /** Answer that was not relayed to the client: one with a 5xx status,
+         *  or an error after the client's stream had begun. */
+        std::optional<whole_answer> failure_answer;
         unsigned failure_status = 0; ///< HTTP status of failure_answer.
         /** The answer was to an earlier request on the connection. */
         bool outdated = false;
@@ -163,7 +170,11 @@
     send_result send(const placement& chosen);
     /** Sends the request on engine_connection_ and relays the answer. */
     send_result send_request(const placement& chosen);
+    /** @return The head to send to an engine. The body follows as it is. */
     std::string encode_for_engine(const placement& chosen) const;
+    /** Writes the request in the background: an engine may answer before it has
+     *  read the whole request. */
+    void write_request();
     send_result read_answer(answer_parser& parser, const placement& chosen);
     /** Reads the rest of an answer to an earlier request on the connection. */
     send_result skip_outdated_answer(answer_parser& parser);
@@ -175,8 +186,11 @@
     send_result relay_whole_answer(answer_parser& parser,
                                    const answer_head& head);
     /** Reads the rest of an answer into memory. @return False if it breaks off
-     *  or is too large beside the answers of other requests. */
+     *  or finds no memory. */
     bool gather_body(answer_parser& parser);
+    /** Charges what is kept of an answer, with the next read, and waits a
+     *  little if there is no room. @return False if there is none. */
+    bool charge_answer(const answer_parser& parser, std::size_t pending_bytes);
     /** @return True if the answer has the status with which the client's stream
      *  began, and no type of content that rules events out. */
     [[nodiscard]] bool continues_stream(const answer_parser& parser) const;
@@ -216,6 +230,7 @@
      *  @return What became of the hop, with the answer passed on if any. */
     relay_outcome read_relayed_answer(const relay_peer& peer,
                                       bool may_have_run_before);
+    /** @return The head to send to another VM. */
     std::string encode_for_vm() const;
     /** Counts the events of another VM's answer, which this VM charges. */
     void count_passed_events(event_splitter& splitter, const std::string& body);
@@ -265,6 +280,7 @@
     boost::asio::steady_timer timer_;
     bool timed_out_ = false;
     std::size_t request_bytes_; ///< Charged for the request itself.
+    bool memory_short_ = false; ///< An engine's answer found no memory.
 
     token_count reserved_tokens_ = 0;
     bool reserved_from_credit_ = false;
@@ -274,7 +290,7 @@
     /** When the head of the last send's answer arrived, if it did. */
     std::optional<time_point> answer_began_at_;
     std::set<server_id> tried_engines_;
-    std::optional<std::string> last_failure_answer_;
+    std::optional<whole_answer> last_failure_answer_;
     unsigned last_failure_status_ = 0;
     /** True if an engine refused the request or was another instance than
      *  expected. */
--- a/packages/gateway/exchange_end.cpp
+++ b/packages/gateway/exchange_end.cpp
@@ -34,12 +34,15 @@
         return log_end("stream_broken", 0);
     }
     if (last_failure_answer_) {
-        client_.write(*last_failure_answer_, answer_write_timeout);
+        client_.write(last_failure_answer_->head, last_failure_answer_->body,
+                      answer_write_timeout);
         return log_end("engine_failure", last_failure_status_);
     }
     if (may_have_run_)
         refuse(timed_out_ ? 504 : 502, counter::answers_failed,
-               timed_out_ ? "timed_out" : "engine_lost");
+               timed_out_      ? "timed_out"
+               : memory_short_ ? "answer_too_large"
+                               : "engine_lost");
     else if (refused_by_engine_)
         refuse(503, counter::refused_engines_full, "engines_full",
                retry_after_no_engine());
--- a/packages/gateway/exchange_relay.cpp
+++ b/packages/gateway/exchange_relay.cpp
@@ -18,6 +18,8 @@
 
 namespace http = boost::beast::http;
 
+/** Maximum size of one event of a stream. */
+constexpr std::size_t max_event_bytes = 262'144;
 /** VMs accept a connection within one round trip. */
 constexpr auto relay_connect_timeout = milliseconds(100);
 /** VMs to which a request is passed, one after the other, until one reaches an
@@ -192,7 +194,7 @@
         header.set(relay_paid_field, "1");
     platform::set_deadline(
         header, std::chrono::duration_cast<milliseconds>(time_left()));
-    return header_text(header) + request_.body();
+    return header_text(header);
 }
 
 relay_outcome exchange::relay_to(const relay_peer& peer)
@@ -207,10 +209,12 @@
     if (client_.detect_close() || timed_out_)
         return relay_outcome::unreachable;
     const bool may_have_run_before = std::exchange(may_have_run_, true);
-    const auto text = encode_for_vm();
+    const auto head = encode_for_vm();
+    const std::array text{boost::asio::buffer(head),
+                          boost::asio::buffer(request_.body())};
     const auto sent = await_io([&](auto handler) {
-        boost::asio::async_write(engine_connection_->socket,
-                                 boost::asio::buffer(text), std::move(handler));
+        boost::asio::async_write(engine_connection_->socket, text,
+                                 std::move(handler));
     });
     context_.link_bytes.sent += sent.bytes;
     return read_relayed_answer(peer, may_have_run_before);
@@ -272,6 +276,8 @@
     while (true) {
         const auto body = std::exchange(parser.get().body(), {});
         count_passed_events(splitter, body);
+        if (splitter.pending_bytes() > max_event_bytes)
+            return false;
         if (!body.empty() &&
             !client_.write(chunked ? encode_chunk(body) : body, time_left()))
             return false;
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -5,6 +5,7 @@
 #include "gateway/relay_header_type.hpp"
 #include "web/fiber_scheduler_base.hpp"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -30,10 +31,13 @@
  *  A faulty engine may send bytes without end. */
 constexpr std::uint64_t max_answer_bytes = 8'388'608;
 constexpr std::size_t max_event_bytes = 262'144;
-/** Size of all such answers together from which large ones are given up, and
- *  what is large then. Many engines of a service may send without end. */
-constexpr std::size_t max_gathered_bytes = 16'777'216;
-constexpr std::size_t large_answer_bytes = 262'144;
+/** Longest wait for the memory of an answer, and its poll interval. Clients
+ *  that do not read their answers have to yield by then. */
+constexpr auto memory_wait_timeout = milliseconds(1'000);
+constexpr auto memory_poll_interval = milliseconds(20);
+/** Bytes that one read from an engine adds at most, and the first one. */
+constexpr std::size_t max_read_bytes = 65'536;
+constexpr std::size_t max_first_read_bytes = 512;
 /** Number of answers to earlier requests that are skipped on a connection. */
 constexpr std::size_t max_outdated_answers = 2;
 /** A request ends once it has tried this many engines and the last one was
@@ -48,12 +52,12 @@
 {
     last_engine_ = chosen.engine.id;
     last_software_ = chosen.engine.software;
-    const auto result = send(chosen);
+    auto result = send(chosen);
     engine_connection_.reset();
     last_unreachable_ = result.outcome == send_outcome::unreachable;
     const auto now = context_.clock.now();
     const bool abandoned_here =
-        !result.answered && (client_.closed() || timed_out_);
+        !result.answered && (client_.closed() || timed_out_ || memory_short_);
     if (!abandoned_here && (result.outcome == send_outcome::unreachable ||
                             result.outcome == send_outcome::broken))
         context_.connection_pool.record_doubt(chosen.engine);
@@ -75,7 +79,7 @@
         report_if_crashed(chosen);
     tried_engines_.insert(chosen.engine.id);
     if (result.failure_answer) {
-        last_failure_answer_ = result.failure_answer;
+        last_failure_answer_ = std::move(result.failure_answer);
         last_failure_status_ = result.failure_status;
     }
     switch (result.outcome) {
@@ -137,7 +141,21 @@
         request_.method() == http::verb::put)
         header.set(http::field::content_length,
                    std::to_string(request_.body().size()));
-    return header_text(header) + request_.body();
+    return header_text(header);
+}
+
+void exchange::write_request()
+{
+    const std::array buffers{
+        boost::asio::buffer(std::as_const(engine_connection_->outgoing)),
+        boost::asio::buffer(request_.body())};
+    boost::asio::async_write(
+        engine_connection_->socket, buffers,
+        [connection = engine_connection_, &traffic = context_.link_bytes](
+            const boost::system::error_code& fault, std::size_t bytes) {
+            traffic.sent += bytes;
+            connection->sending = fault.failed();
+        });
 }
 
 exchange::send_result exchange::send_request(const placement& chosen)
@@ -152,15 +170,7 @@
     if (last_event_id_ > initial_event_id_)
         context_.metrics.add(counter::resumes);
     const bool may_have_run_before = std::exchange(may_have_run_, true);
-    // Written in the background: an engine may answer before it has read the
-    // whole request.
-    boost::asio::async_write(
-        connection->socket, boost::asio::buffer(connection->outgoing),
-        [connection, &traffic = context_.link_bytes](
-            const boost::system::error_code& fault, std::size_t bytes) {
-            traffic.sent += bytes;
-            connection->sending = fault.failed();
-        });
+    write_request();
     send_result result;
     std::size_t outdated = 0;
     do {
@@ -248,18 +258,40 @@
 
 bool exchange::gather_body(answer_parser& parser)
 {
-    std::size_t counted = 0;
-    bool fits = true;
-    while (fits && !parser.is_done()) {
-        fits = read_some(parser);
-        const auto size = parser.get().body().size();
-        context_.gathered_bytes += size - counted;
-        counted = size;
-        fits = fits && (size < large_answer_bytes ||
-                        context_.gathered_bytes < max_gathered_bytes);
+    while (!parser.is_done())
+        if (!charge_answer(parser, 0) || !read_some(parser))
+            return false;
+    return true;
+}
+
+bool exchange::charge_answer(const answer_parser& parser,
+                             std::size_t pending_bytes)
+{
+    const auto& body = parser.get().body();
+    const auto buffered = engine_connection_->buffer.capacity();
+    // A read fills the buffer's capacity, or begins with a small one.
+    const auto next =
+        std::min(std::max(buffered, max_first_read_bytes), max_read_bytes);
+    auto bytes = request_bytes_ + context_.memory.limits().engine_bytes +
+                 buffered + pending_bytes;
+    // The parser has allocated the whole length of a body that tells it.
+    bytes +=
+        parser.content_length()
+            ? std::max<std::size_t>(*parser.content_length(), body.capacity())
+            : grown_bytes(body.size(), body.capacity(), next);
+    if (last_failure_answer_)
+        bytes += last_failure_answer_->body.capacity();
+    const auto deadline = context_.clock.now() + duration(memory_wait_timeout);
+    while (!client_.charge(bytes)) {
+        if (client_.closed() || timed_out_)
+            return false;
+        if (context_.clock.now() >= deadline) {
+            memory_short_ = true;
+            return false;
+        }
+        fiber_sleep(context_.io, memory_poll_interval);
     }
-    context_.gathered_bytes -= counted;
-    return fits;
+    return true;
 }
 
 exchange::send_result exchange::relay_whole_answer(answer_parser& parser,
@@ -267,7 +299,7 @@
 {
     if (!gather_body(parser))
         return {send_outcome::broken};
-    const auto body = std::move(parser.get().body());
+    auto body = std::move(parser.get().body());
     const bool success = head.status < 300;
     const bool framed = !parser.need_eof();
     return_to_pool(parser, head);
@@ -281,15 +313,19 @@
     header.set(http::field::content_length, std::to_string(body.size()));
     if (!keep_alive_)
         header.set(http::field::connection, "close");
-    auto text = header_text(header) + body;
+    auto text = header_text(header);
     // The client has the head of a stream already: only events may follow.
     if (head.status >= 500 || stream_started_)
-        return {send_outcome::served, false,      false, !framed,
-                std::move(text),      head.status};
+        return {send_outcome::served,
+                false,
+                false,
+                !framed,
+                whole_answer{std::move(text), std::move(body)},
+                head.status};
     time_to_first_byte_ = elapsed();
     // An answer that arrives at the deadline still gets time to be written.
     const auto timeout = std::max<duration>(time_left(), milliseconds(500));
-    const bool written = client_.write(text, timeout);
+    const bool written = client_.write(text, body, timeout);
     return {send_outcome::served, written, success && framed, !framed};
 }
 
@@ -323,7 +359,8 @@
             last_event_id_ += event.id ? 1 : 0;
             out += event.bytes;
         }
-        if (splitter.pending_bytes() > max_event_bytes)
+        if (splitter.pending_bytes() > max_event_bytes ||
+            !charge_answer(parser, splitter.pending_bytes() + out.size()))
             return {send_outcome::broken};
         if (!out.empty())
             record_stream_begun(chosen);
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -96,8 +96,7 @@
     /** The load balancer sends no new clients. Answers close their connections,
      *  so that the clients move to other VMs. */
     bool out_of_rotation = false;
-    std::size_t gathered_bytes = 0; ///< Of answers that are no streams yet.
-    link_traffic link_bytes{};      ///< Passed to and from clients and engines.
+    link_traffic link_bytes{}; ///< Passed to and from clients and engines.
     link_load link{{.bytes_per_s = settings.link_bits_per_s / 8}};
     std::size_t open_requests = 0; ///< Client requests being read or handled.
 };
