Bound the connections and requests of readiness checks and metrics

Callers saw a router that 24 clients of its readiness and metrics ports took to 206 MB of a VM of 64 MB with chunk lines that do not end, and that kept each of 1,000 silent connections there: 1,020 of 600 descriptors.

Cause: these ports read into a buffer without a limit, for 10 s, and accept any number of connections.

Change: 16 KiB for a request, and 32 connections in the account; the one that has waited longest, half a second at least, makes room for the next check. A crowd of clients can't take the places of checks, nor the reverse.

--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -38,11 +38,43 @@
 constexpr auto settings_poll_interval = milliseconds(2'000);
 constexpr auto connection_idle_timeout = std::chrono::seconds(10);
 constexpr std::uint64_t bytes_per_mb = 1'048'576;
-/** What the kernel buffers for a readiness check in each direction. */
+/** Largest readiness check or request for the metrics, and what the kernel
+ *  buffers for one. */
+constexpr std::size_t max_check_bytes = 16'384;
 constexpr int check_buffer_bytes = 32'768;
 
 } // namespace
 
+struct gateway::check_connection
+    : std::enable_shared_from_this<check_connection>
+{
+    check_connection(boost::asio::ip::tcp::socket socket,
+                     memory_account& account)
+        : stream(std::move(socket)), memory(account)
+    {
+    }
+    ~check_connection() { memory.close(holder); }
+    check_connection(const check_connection&) = delete;
+    check_connection& operator=(const check_connection&) = delete;
+
+    /** @return False if there is no room in the account. */
+    bool enter(time_point now)
+    {
+        holder = memory.open(
+            peer_kind::check,
+            [weak = weak_from_this()](bool) {
+                if (const auto self = weak.lock())
+                    self->stream.close();
+            },
+            now);
+        return holder != 0;
+    }
+
+    boost::beast::tcp_stream stream;
+    memory_account& memory;
+    holder_id holder = 0;
+};
+
 gateway::gateway(gateway_settings settings, std::string settings_path)
     : settings_(std::move(settings)), settings_path_(std::move(settings_path)),
       log_(settings_.vm.value()),
@@ -178,18 +210,21 @@
             fiber_sleep(io_, poll_interval);
             continue;
         }
-        boost::fibers::fiber(boost::fibers::launch::post,
-                             [this, socket = std::move(socket)]() mutable {
-                                 serve_connection(std::move(socket));
-                             })
-            .detach();
+        auto connection =
+            std::make_shared<check_connection>(std::move(socket), memory_);
+        if (connection->enter(clock_.now()))
+            boost::fibers::fiber(boost::fibers::launch::post, [this,
+                                                               connection]() {
+                serve_connection(connection);
+            }).detach();
     }
 }
 
-void gateway::serve_connection(boost::asio::ip::tcp::socket socket)
+void gateway::serve_connection(std::shared_ptr<check_connection> connection)
 {
-    boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
+    auto& stream = connection->stream;
+    // A request that fills the buffer without an end is an error.
+    boost::beast::flat_buffer buffer(max_check_bytes);
     while (true) {
         stream.expires_after(connection_idle_timeout);
         http::request<http::empty_body> request;
--- a/packages/gateway/gateway_base.hpp
+++ b/packages/gateway/gateway_base.hpp
@@ -23,6 +23,9 @@
     int run();
 
 private:
+    /** A connection of the load balancer or of a reader of the metrics. */
+    struct check_connection;
+
     control_callbacks make_callbacks();
     /** Listens on a port and starts to serve readiness checks and metrics
      *  there. */
@@ -30,7 +33,7 @@
                                  const endpoint& at);
     expected<void> open_ports();
     void serve_checks(boost::asio::ip::tcp::acceptor& acceptor);
-    void serve_connection(boost::asio::ip::tcp::socket socket);
+    void serve_connection(std::shared_ptr<check_connection> connection);
     std::string check_reply(const std::string& target) const;
     void await_signals();
     void reload(const char* cause);
