Return the memory of large buffers once they are freed

Cause: the allocator's threshold for buffers of their own grows to the size of those that are freed, up to 32 MiB; later ones come from the heap, whose freed part stays with the process beneath what is still used.

Change: the threshold stays at 128 KiB on the platform path.

--- a/packages/daemon/daemon_main.cpp
+++ b/packages/daemon/daemon_main.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <malloc.h>
 #include <popt.h>
 
 namespace
@@ -16,6 +17,7 @@
 constexpr int exit_ok = 0;
 constexpr int exit_bad_settings = 1;
 constexpr int exit_bad_usage = 2;
+constexpr int mmap_threshold_bytes = 131'072;
 
 /** Options of the command line. */
 struct command_line
@@ -87,6 +89,9 @@
         return exit_bad_settings;
     }
     values->metrics_port = static_cast<std::uint16_t>(metrics_port);
+    // A fixed threshold returns large buffers to the system as soon as they are
+    // freed. By default it grows to the size of those that were freed.
+    mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
     auto* process = new gateway(*values, path);
     const int code = process->run();
     // The traffic thread still holds connections, which the end of the process
