Take no answer for whole that ends while its upload has not

Callers of a route that may not be repeated got a part of an answer as the whole one: an engine reads the head of an upload of 4 MiB, answers 200 without a length, sends a part and resets.

Cause: the upload is written beside the read. The write takes the socket's error, and the read after it finds a plain end of file, which ends a body without a length.

Change: an end of file completes no body while the upload goes on or has failed, in whichever order the two are seen, for answers and streams; the request ends with 502 or on another engine, as where an engine breaks off. An answer that tells its length may still come before the upload has been read. Between VMs each answer has a length or chunks, so one without is broken. The store's and the own interface's calls write the whole request before they read, and end with an error where that fails (read, not tested).

--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -199,6 +199,9 @@
                              const placement& chosen);
     /** Reads once from the engine. @return False if that failed. */
     bool read_some(answer_parser& parser);
+    /** @return True if the end of the connection ended the answer, although the
+     *  upload has failed or goes on: the answer is not known to be whole. */
+    [[nodiscard]] bool ended_during_upload(const answer_parser& parser) const;
     bool relay_events(const std::string& bytes, const answer_parser& parser);
     bool send_stream_header(const answer_parser& parser);
     /** Keeps the engine connection for reuse, or resets it if it can't be
--- a/packages/gateway/exchange_relay.cpp
+++ b/packages/gateway/exchange_relay.cpp
@@ -236,6 +236,9 @@
     if (read.fault)
         return relay_outcome::broken;
     relayed_status_ = parser.get().result_int();
+    // VMs tell the length of each answer, or send it in chunks.
+    if (parser.need_eof())
+        return relay_outcome::broken;
     const auto version = version_in(parser.get()[relay_config_field]);
     if (version > config_version())
         context_.control.report_config_version(version, peer.vm);
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -196,7 +196,14 @@
                               std::move(handler));
     });
     context_.link_bytes.received += read.bytes;
-    return !read.fault;
+    return !read.fault && !ended_during_upload(parser);
+}
+
+bool exchange::ended_during_upload(const answer_parser& parser) const
+{
+    // A failed write takes the connection's error; the next read then finds a
+    // plain end.
+    return parser.is_done() && parser.need_eof() && engine_connection_->sending;
 }
 
 exchange::send_result exchange::skip_outdated_answer(answer_parser& parser)
