Pass on no answer whose status is none

Callers saw an engine in trouble through a status such as 999, with its body.

Cause: a status counted as valid from 200 on; HTTP ends at 599 (RFC 9110, section 15). Below 100, or not of three digits, they came as 502 already.

Change: an answer above 599, of an engine or another VM, is a broken one.

Result: test_status_that_is_none_is_not_passed_on failed on (600) and passes here; 000, 099, 20, 0200 and 999 with it (one run).

--- a/packages/gateway/exchange_relay.cpp
+++ b/packages/gateway/exchange_relay.cpp
@@ -18,6 +18,7 @@
 
 namespace http = boost::beast::http;
 
+constexpr unsigned max_status = 599;
 /** Maximum size of one event of a stream. */
 constexpr std::size_t max_event_bytes = 262'144;
 /** VMs accept a connection within one round trip. */
@@ -237,7 +238,7 @@
         return relay_outcome::broken;
     relayed_status_ = parser.get().result_int();
     // VMs tell the length of each answer, or send it in chunks.
-    if (parser.need_eof())
+    if (parser.need_eof() || relayed_status_ > max_status)
         return relay_outcome::broken;
     const auto version = version_in(parser.get()[relay_config_field]);
     if (version > config_version())
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -31,6 +31,9 @@
  *  A faulty engine may send bytes without end. */
 constexpr std::uint64_t max_answer_bytes = 8'388'608;
 constexpr std::size_t max_event_bytes = 262'144;
+/** Statuses that an answer may end with. */
+constexpr unsigned min_final_status = 200;
+constexpr unsigned max_status = 599;
 /** Longest wait for the memory of an answer, and its poll interval. Clients
  *  that do not read their answers have to yield by then. */
 constexpr auto memory_wait_timeout = milliseconds(1'000);
@@ -239,7 +242,8 @@
     if (head.not_executed)
         return {head.status == 421 ? send_outcome::instance_mismatch
                                    : send_outcome::refused};
-    if (!head.request_id_matches || head.encoded || head.status < 200)
+    if (!head.request_id_matches || head.encoded ||
+        head.status < min_final_status || head.status > max_status)
         return {send_outcome::broken};
     const bool success = head.status < 300;
     if (success && !head.sealed)
--- a/tests/daemons/gateway_upload_test.py
+++ b/tests/daemons/gateway_upload_test.py
@@ -1,5 +1,5 @@
 """The router of the users' platform: engines that end an answer during the
-upload."""
+upload, and statuses that are none."""
 
 import contextlib
 import http.client
@@ -99,6 +99,19 @@
             reply = Client(self.port).request("POST", "/order/1", UPLOAD)
             self.assertEqual((reply.status, reply.read()), (200, b"done"))
 
+    def test_status_that_is_none_is_not_passed_on(self):
+        status = ""
+
+        def answer(request):
+            request.send(f"HTTP/1.1 {status} X\r\nRequest-Id: {request.id}\r\n"
+                         "Response-Seal: seal-1\r\nContent-Length: 4\r\n\r\n"
+                         "done")
+        self.start_with_engines(answer, service="plain")
+        for status in ("000", "099", "20", "0200", "600", "999"):
+            reply = Client(self.port).request("POST", "/order/1", "x")
+            reply.read()
+            self.assertEqual(reply.status, 502, status)
+
 
 if __name__ == "__main__":
     unittest.main()
