Bound the connections at the port for messages of VMs

Callers saw a router that kept each of 1,000 connections at this port, before their handshake and after it: 1,021 and 1,022 of 600 descriptors.

Cause: a handshake has a time limit, but nothing bounds how many wait, or how many stay open after it. A request of a VM for tokens is handled by a fiber of its own, and their number had no bound either.

Change: incoming connections are entered in the account, an eighth of the descriptors; the one that has been silent longest makes room. At 1,024 requests under way a further one gets no tokens at once, and is asked for at the next VM.

Tests: the two tests of this port checked nothing before: the stand-in's settings opened no such port, and connections that are refused were passed over. A crowd none of whose clients connects is an error now, these tests open the port, and a third one completes the handshake.

--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -35,7 +35,8 @@
 control_service::control_service(boost::asio::io_context& io,
                                  control_options options, wallet& local_wallet,
                                  credit_pool& credit, stream_registry& streams,
-                                 event_log& log, gateway_metrics& metrics)
+                                 memory_account& memory, event_log& log,
+                                 gateway_metrics& metrics)
     : io_(io), options_(std::move(options)), wallet_(local_wallet),
       streams_(streams), log_(log), metrics_(metrics),
       intervals_(sync_intervals_for(options_.settings.bounds)),
@@ -68,7 +69,7 @@
                [this](const customer_id& customer, token_count tokens) {
                    wallet_.record_consumed(customer, tokens);
                }},
-          credit, log, metrics),
+          credit, memory, log, metrics),
       presence_({.self = options_.settings.vm}),
       own_presence_({.run = options_.self,
                      .data_centre = options_.settings.data_centre,
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -33,8 +33,8 @@
 public:
     control_service(boost::asio::io_context& io, control_options options,
                     wallet& local_wallet, credit_pool& credit,
-                    stream_registry& streams, event_log& log,
-                    gateway_metrics& metrics);
+                    stream_registry& streams, memory_account& memory,
+                    event_log& log, gateway_metrics& metrics);
 
     /** Starts the fibers that synchronize with the store. */
     void start();
--- a/packages/gateway/credit_service_base.cpp
+++ b/packages/gateway/credit_service_base.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t max_message_bytes = 4'096;
 /** A longer send queue means that the other end does not read. */
 constexpr std::size_t max_queued_bytes = 16'384;
+/** Requests of other VMs that are handled at a time, each by a fiber. */
+constexpr std::size_t max_requests_handled = 1'024;
 
 peer_socket_options socket_options()
 {
@@ -54,11 +56,15 @@
 
 credit_service::credit_service(boost::asio::io_context& io,
                                credit_options options, credit_pool& pool,
-                               event_log& log, gateway_metrics& metrics)
-    : io_(io), options_(std::move(options)), credit_pool_(pool), log_(log),
-      metrics_(metrics),
+                               memory_account& memory, event_log& log,
+                               gateway_metrics& metrics)
+    : io_(io), options_(std::move(options)), credit_pool_(pool),
+      memory_(memory), log_(log), metrics_(metrics),
       peers_(io, socket_options(),
-             {.opened = [this](socket_number number,
+             {.accepted =
+                  [this](socket_number number) { return on_accepted(number); },
+              .ended = [this](socket_number number) { on_ended(number); },
+              .opened = [this](socket_number number,
                                bool outgoing) { on_opened(number, outgoing); },
               .closed = [this](socket_number number) { on_closed(number); },
               .received =
@@ -275,6 +281,25 @@
     report_used();
 }
 
+bool credit_service::on_accepted(socket_number number)
+{
+    const auto holder = memory_.open(
+        peer_kind::vm, [this, number](bool) { peers_.abort(number); },
+        clock_.now());
+    if (holder != 0)
+        holders_[number] = holder;
+    return holder != 0;
+}
+
+void credit_service::on_ended(socket_number number)
+{
+    const auto found = holders_.find(number);
+    if (found == holders_.end())
+        return;
+    memory_.close(found->second);
+    holders_.erase(found);
+}
+
 void credit_service::on_opened(socket_number number, bool outgoing)
 {
     if (outgoing)
@@ -289,6 +314,9 @@
 
 void credit_service::on_received(socket_number from, const std::string& bytes)
 {
+    const auto holder = holders_.find(from);
+    if (holder != holders_.end())
+        memory_.set_state(holder->second, peer_state::idle, clock_.now());
     const auto message = decode_credit(bytes, "peer");
     if (!message) {
         log_.write("credit_unreadable", {{"why", describe(message.error())}});
@@ -302,6 +330,13 @@
 
 void credit_service::handle(socket_number from, const credit_request& request)
 {
+    if (requests_handled_ >= max_requests_handled) {
+        peers_.send(
+            from, true,
+            encode_credit(credit_reply{request.number, request.customer}));
+        return;
+    }
+    ++requests_handled_;
     // The answer may need a renewal, and a receive handler must not block.
     boost::fibers::fiber(boost::fibers::launch::post, [this, from, request] {
         credit_reply reply{request.number, request.customer};
@@ -314,6 +349,7 @@
         if (peers_.queued(from) > max_queued_bytes ||
             !peers_.send(from, true, encode_credit(reply)))
             credit_pool_.add(request.customer, reply.tokens, clock_.now());
+        --requests_handled_;
     }).detach();
 }
 
--- a/packages/gateway/credit_service_base.hpp
+++ b/packages/gateway/credit_service_base.hpp
@@ -6,6 +6,7 @@
 #include "gateway/gateway_metrics_base.hpp"
 #include "gateway/gateway_settings_type.hpp"
 #include "peer/peer_socket_base.hpp"
+#include "router/memory_account_base.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -40,7 +41,8 @@
 {
 public:
     credit_service(boost::asio::io_context& io, credit_options options,
-                   credit_pool& pool, event_log& log, gateway_metrics& metrics);
+                   credit_pool& pool, memory_account& memory, event_log& log,
+                   gateway_metrics& metrics);
 
     /** Listens for other VMs and starts the fiber that maintains credit. */
     void start();
@@ -86,6 +88,9 @@
         bool requesting = false;    ///< A fiber requests credit for them.
     };
 
+    /** @return False if there is no room for an incoming connection. */
+    bool on_accepted(socket_number number);
+    void on_ended(socket_number number);
     void on_opened(socket_number number, bool outgoing);
     void on_closed(socket_number number);
     void on_received(socket_number from, const std::string& bytes);
@@ -112,15 +117,18 @@
     boost::asio::io_context& io_;
     credit_options options_;
     credit_pool& credit_pool_;
+    memory_account& memory_;
     event_log& log_;
     gateway_metrics& metrics_;
     runtime_clock clock_;
     std::vector<fleet_vm> fleet_;
-    std::map<std::string, socket_number> sockets_;      ///< By IP:PORT.
+    std::map<std::string, socket_number> sockets_; ///< By IP:PORT.
+    std::map<socket_number, holder_id> holders_;   ///< Incoming connections.
     std::map<std::string, unanswered_peer> unanswered_; ///< By IP:PORT.
     std::map<std::uint64_t, pending_request*> pending_; ///< By request number.
     std::map<customer_id, demand> demands_;
     std::uint64_t last_number_ = 0;
+    std::size_t requests_handled_ = 0;
     bool closing_ = false;
     peer_socket peers_;
 };
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -97,9 +97,9 @@
     log_.write("start", {{"instance", options.self.value()},
                          {"data_centre", settings_.data_centre.value()},
                          {"callers", settings_.callers.text()}});
-    control_ = std::make_unique<control_service>(io_, std::move(options),
-                                                 wallet_, credit_pool_,
-                                                 streams_, log_, metrics_);
+    control_ = std::make_unique<control_service>(
+        io_, std::move(options), wallet_, credit_pool_, streams_, memory_, log_,
+        metrics_);
     traffic_ = std::make_unique<traffic_service>(
         settings_, wallet_, credit_pool_, streams_, log_, metrics_, memory_,
         make_callbacks());
--- a/packages/peer/peer_socket_base.cpp
+++ b/packages/peer/peer_socket_base.cpp
@@ -62,8 +62,19 @@
         server_.set_reuse_addr(true);
         server_.set_open_handler(
             [this](connection_handle handle) { on_open(handle, false, ""); });
-        server_.set_close_handler(
-            [this](connection_handle handle) { on_close(handle); });
+        server_.set_close_handler([this](connection_handle handle) {
+            on_close(handle);
+            on_ended(handle);
+        });
+        server_.set_fail_handler(
+            [this](connection_handle handle) { on_ended(handle); });
+        server_.set_tcp_post_init_handler([this](connection_handle handle) {
+            set_no_delay(server_, handle);
+            on_accepted(handle);
+        });
+        client_.set_tcp_post_init_handler([this](connection_handle handle) {
+            set_no_delay(client_, handle);
+        });
     }
 
     std::uint16_t listen(const std::string& address, std::uint16_t port,
@@ -136,6 +147,19 @@
             server_.close(found->second.handle, status, "", ignored);
     }
 
+    void abort(socket_number socket)
+    {
+        const auto found = accepted_.find(socket);
+        if (found == accepted_.end())
+            return;
+        ws_error_code ws_error;
+        const auto connection =
+            server_.get_con_from_hdl(found->second, ws_error);
+        boost::system::error_code ignored;
+        if (!ws_error)
+            connection->get_raw_socket().close(ignored);
+    }
+
     void stop()
     {
         stopped_ = true;
@@ -179,15 +203,39 @@
                                        message->get_opcode() == binary_frame,
                                        message->get_payload());
             });
-        endpoint.set_tcp_post_init_handler([&endpoint](
-                                               connection_handle handle) {
-            ws_error_code ws_error;
-            const auto connection = endpoint.get_con_from_hdl(handle, ws_error);
-            boost::system::error_code ignored;
-            if (!ws_error)
-                connection->get_raw_socket().set_option(
-                    boost::asio::ip::tcp::no_delay(true), ignored);
-        });
+    }
+
+    template <class Endpoint>
+    static void set_no_delay(Endpoint& endpoint,
+                             const connection_handle& handle)
+    {
+        ws_error_code ws_error;
+        const auto connection = endpoint.get_con_from_hdl(handle, ws_error);
+        boost::system::error_code ignored;
+        if (!ws_error)
+            connection->get_raw_socket().set_option(
+                boost::asio::ip::tcp::no_delay(true), ignored);
+    }
+
+    void on_accepted(const connection_handle& handle)
+    {
+        const auto number = ++last_number_;
+        accepted_[number] = handle;
+        numbers_[handle] = number;
+        if (handlers_.accepted && !handlers_.accepted(number))
+            abort(number);
+    }
+
+    void on_ended(const connection_handle& handle)
+    {
+        const auto found = numbers_.find(handle);
+        if (found == numbers_.end())
+            return;
+        const auto number = found->second;
+        numbers_.erase(found);
+        accepted_.erase(number);
+        if (handlers_.ended)
+            handlers_.ended(number);
     }
 
     void connect(const dial_target& target, unsigned past_failures)
@@ -240,9 +288,10 @@
     void on_open(const connection_handle& handle, bool outgoing,
                  std::string target)
     {
-        const auto number = ++last_number_;
+        if (outgoing)
+            numbers_[handle] = ++last_number_;
+        const auto number = numbers_[handle];
         sockets_[number] = {handle, outgoing, std::move(target)};
-        numbers_[handle] = number;
         handlers_.opened(number, outgoing);
     }
 
@@ -252,7 +301,9 @@
         if (found == numbers_.end())
             return;
         const auto number = found->second;
-        numbers_.erase(found);
+        // Incoming ones end in on_ended().
+        if (accepted_.count(number) == 0)
+            numbers_.erase(found);
         sockets_.erase(number);
         handlers_.closed(number);
     }
@@ -268,6 +319,8 @@
     std::set<dial_target> targets_;
     std::map<socket_number, open_socket> sockets_;
     std::map<connection_handle, socket_number, handle_order> numbers_;
+    /** Incoming connections, those before their handshake included. */
+    std::map<socket_number, connection_handle> accepted_;
     std::set<std::shared_ptr<boost::asio::steady_timer>> retry_timers_;
 };
 
@@ -318,6 +371,11 @@
     implementation_->close(socket);
 }
 
+void peer_socket::abort(socket_number socket)
+{
+    implementation_->abort(socket);
+}
+
 void peer_socket::stop()
 {
     implementation_->stop();
--- a/packages/peer/peer_socket_base.hpp
+++ b/packages/peer/peer_socket_base.hpp
@@ -35,6 +35,12 @@
 /** Callbacks of a peer_socket, called on the io_context's thread. */
 struct peer_socket_handlers
 {
+    /** An incoming connection before its handshake. It is closed if this
+     *  returns false. Optional. */
+    std::function<bool(socket_number)> accepted;
+    /** The end of an incoming connection, also before its handshake. Optional.
+     */
+    std::function<void(socket_number)> ended;
     std::function<void(socket_number, bool outgoing)> opened;
     std::function<void(socket_number)> closed;
     std::function<void(socket_number, bool binary, const std::string&)>
@@ -77,6 +83,8 @@
     /** @return Bytes of messages that are not written to the network yet. */
     [[nodiscard]] std::size_t queued(socket_number socket) const;
     void close(socket_number socket);
+    /** Closes an incoming connection at once, also before its handshake. */
+    void abort(socket_number socket);
     /** Stops accepting and reconnecting, and closes all connections. */
     void stop();
 
--- a/packages/router/memory_account_base.cpp
+++ b/packages/router/memory_account_base.cpp
@@ -17,6 +17,7 @@
 /** Descriptors that neither clients nor engines may use: files, ports, the
  *  store and other VMs. */
 constexpr std::size_t reserved_descriptors = 300;
+/** Connections of clients and of VMs where descriptors are fewer still. */
 constexpr std::size_t min_clients = 16;
 /** Time without progress after which a connection may have to yield. */
 constexpr auto stall_time = std::chrono::milliseconds(500);
@@ -39,8 +40,9 @@
             .connection_bytes = 64 * kibibyte,
             .engine_bytes = 32 * kibibyte,
             // Each client may need a connection to an engine.
-            .max_clients = std::max(min_clients, descriptors / 2),
-            .max_checks = 32};
+            .max_clients = std::max(min_clients, descriptors / 16 * 7),
+            .max_checks = 32,
+            .max_vms = std::max(min_clients, descriptors / 8)};
 }
 
 std::size_t grown_bytes(std::size_t size, std::size_t capacity,
@@ -63,17 +65,27 @@
     return holders_.size();
 }
 
-std::size_t memory_account::count(peer_kind kind) const
+std::size_t memory_account::max_connections(peer_kind kind) const
 {
-    return kind == peer_kind::client ? clients_ : holders_.size() - clients_;
+    switch (kind) {
+    case peer_kind::client:
+        return limits_.max_clients;
+    case peer_kind::check:
+        return limits_.max_checks;
+    case peer_kind::vm:
+        return limits_.max_vms;
+    }
+    return 0;
 }
 
 bool memory_account::has_room(peer_kind kind) const
 {
-    if (kind == peer_kind::check)
-        return count(kind) < limits_.max_checks;
-    return count(kind) < limits_.max_clients &&
-           used_.all + limits_.connection_bytes <= limits_.capacity_bytes;
+    const auto found = counts_.find(kind);
+    const auto open = found == counts_.end() ? 0 : found->second;
+    // The others are few, and must get in while clients hold all memory.
+    return open < max_connections(kind) &&
+           (kind != peer_kind::client ||
+            used_.all + limits_.connection_bytes <= limits_.capacity_bytes);
 }
 
 void memory_account::add(total& sum, std::size_t bytes) const
@@ -100,7 +112,7 @@
         remove(found);
     }
     add(used_, limits_.connection_bytes);
-    clients_ += kind == peer_kind::client ? 1 : 0;
+    ++counts_[kind];
     holders_.emplace(++last_id_,
                      memory_holder{.kind = kind,
                                    .bytes = limits_.connection_bytes,
@@ -123,7 +135,7 @@
     subtract(used_, holder.bytes);
     if (holder.yielding)
         subtract(leaving_, holder.bytes);
-    clients_ -= holder.kind == peer_kind::client ? 1 : 0;
+    --counts_[holder.kind];
     holders_.erase(at);
 }
 
--- a/packages/router/memory_account_base.hpp
+++ b/packages/router/memory_account_base.hpp
@@ -18,6 +18,7 @@
 {
     client, ///< A client, or a VM that passes a client's request on.
     check,  ///< The load balancer, or a reader of the metrics.
+    vm,     ///< A VM that lends or borrows tokens.
 };
 
 /** What a connection is doing. */
@@ -48,6 +49,7 @@
     std::size_t engine_bytes = 0;
     std::size_t max_clients = 0; ///< Open connections of clients.
     std::size_t max_checks = 0;  ///< Open connections of checks.
+    std::size_t max_vms = 0;     ///< Open connections that VMs have opened.
 
     bool operator==(const memory_limits&) const = default;
 };
@@ -140,8 +142,7 @@
      *  @param min_bytes Connections that hold less are left out. */
     holders::iterator choose(holder_id asking, peer_kind kind, bool for_answer,
                              std::size_t min_bytes, time_point now);
-    /** @return Open connections of a kind. */
-    [[nodiscard]] std::size_t count(peer_kind kind) const;
+    [[nodiscard]] std::size_t max_connections(peer_kind kind) const;
     /** @return True if a new connection fits. */
     [[nodiscard]] bool has_room(peer_kind kind) const;
 
@@ -151,7 +152,7 @@
     holder_id last_id_ = 0;
     total used_;
     total leaving_; ///< Held by connections that were told to yield.
-    std::size_t clients_ = 0;
+    std::map<peer_kind, std::size_t> counts_; ///< Open connections.
 };
 
 } // namespace rosemarydeck
--- a/tests/daemons/crowd.py
+++ b/tests/daemons/crowd.py
@@ -104,6 +104,7 @@
                 self.clients.append(client)
                 self.unsent[client] = memoryview(payload)
                 self.selector.register(client, self.events(client))
+        assert self.clients, "no client could connect"
 
     def events(self, client):
         return ((selectors.EVENT_WRITE if self.unsent[client] else 0)
--- a/tests/daemons/gateway_crowd_test.py
+++ b/tests/daemons/gateway_crowd_test.py
@@ -205,15 +205,27 @@
         self.play([b""] * 1_000, port=self.ready_port)
         self.check()
 
-    def test_silent_connections_at_the_port_for_messages_of_vms(self):
+    def start_with_peer_port(self):
+        """Of a fleet whose VMs lend each other tokens."""
         self.peer_port, self.relay_port = free_port(), free_port()
+        self.writes_per_s = 1_200
         self.start()
+
+    def test_silent_connections_at_the_port_for_messages_of_vms(self):
+        self.start_with_peer_port()
         self.play([b""] * 1_000, port=self.peer_port)
         self.check()
 
+    def test_open_connections_at_the_port_for_messages_of_vms(self):
+        self.start_with_peer_port()
+        handshake = (b"GET / HTTP/1.1\r\nHost: vm\r\nUpgrade: websocket\r\n"
+                     b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+                     b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
+        self.play([handshake] * 1_000, port=self.peer_port)
+        self.check()
+
     def test_endless_handshake_at_the_port_for_messages_of_vms(self):
-        self.peer_port, self.relay_port = free_port(), free_port()
-        self.start()
+        self.start_with_peer_port()
         self.play([b"GET / HTTP/1.1\r\nField: " + b"v" * LINE_BYTES
                    for _ in range(12)], port=self.peer_port)
         self.check()
