--- a/packages/client/client_explain_cmd.cpp
+++ b/packages/client/client_explain_cmd.cpp
@@ -47,6 +47,14 @@
                 "no customer of the VM's configuration has the API key"},
     outcome_row{"no_engine", "no engine of the service could be reached"},
     outcome_row{"stopping", "the VM stops before the request would have ended"},
+    outcome_row{"memory_short",
+                "connections held the memory that the request needs, and none "
+                "of them had to yield; see the event memory_short"},
+    outcome_row{"vm_full",
+                "the VM handled nearly as many requests as it may, and the "
+                "customer had its part of them"},
+    outcome_row{"answer_too_large",
+                "an engine's answer found no memory within a second"},
     outcome_row{"token_count", "the request names an invalid token count"},
     outcome_row{"engines_full",
                 "engines refused the request without running it"},
