Let refusals be sent before their connections yield

Cause: a connection that was being refused could be closed at once for another one, before its answer had left. The configuration that a VM hands to another was copied for each, uncharged. Connections to engines were opened for IPv4, whatever their address.

--- a/packages/gateway/client_connection_base.cpp
+++ b/packages/gateway/client_connection_base.cpp
@@ -171,7 +171,7 @@
 
 void client_connection::send_config_copy(std::uint64_t known_version)
 {
-    const auto& view = context_.view;
+    const auto view = context_.view; // Owns the text while it is written.
     const bool newer = view && view->config && view->config_text &&
                        view->config->config().version > known_version;
     const std::string none;
@@ -181,8 +181,8 @@
             "\r\nConnection: close\r\n" +
             (newer ? "Content-Length: " + std::to_string(text.size()) + "\r\n"
                    : "") +
-            "\r\n" + text,
-        config_write_timeout);
+            "\r\n",
+        text, config_write_timeout);
 }
 
 bool client_connection::wait_for_request(const client_limits& limits)
--- a/packages/gateway/engine_connection_pool_base.cpp
+++ b/packages/gateway/engine_connection_pool_base.cpp
@@ -91,7 +91,8 @@
         return failed(fault.message());
     connection->engine = engine.id;
     connection->connecting = true;
-    connection->socket.open(boost::asio::ip::tcp::v4(), fault);
+    const boost::asio::ip::tcp::endpoint target(address, engine.port);
+    connection->socket.open(target.protocol(), fault);
     if (fault)
         return failed(fault.message());
     connection->socket.set_option(
@@ -104,8 +105,7 @@
             connection->socket.close(ignored);
     });
     const auto done = await_io([&](auto handler) {
-        connection->socket.async_connect({address, engine.port},
-                                         std::move(handler));
+        connection->socket.async_connect(target, std::move(handler));
     });
     connection->connecting = false;
     timer.cancel();
--- a/packages/router/memory_account_base.cpp
+++ b/packages/router/memory_account_base.cpp
@@ -274,8 +274,6 @@
         return false;
     case peer_state::reading:
         return stalled || (for_answer && holder.bytes > limits_.ordinary_bytes);
-    case peer_state::refusing:
-        return true;
     default:
         return stalled;
     }
--- a/packages/router/test/memory_account_test.cpp
+++ b/packages/router/test/memory_account_test.cpp
@@ -203,6 +203,16 @@
     CHECK(open() == 0);
 }
 
+TEST_CASE_METHOD(account_fixture, "A refusal has time to be sent", "[memory]")
+{
+    for (int count = 0; count < 8; ++count)
+        open(peer_state::refusing, 0);
+    now_ += short_pause;
+    CHECK(open() == 0);
+    now_ += long_stall;
+    CHECK(open() != 0);
+}
+
 TEST_CASE_METHOD(account_fixture, "Clients do not push out readiness checks",
                  "[memory]")
 {
