Refuse requests of the own interface that nest too deeply

Callers of the own interface could end a VM with one request inside its limits: a message whose content nests 5,000 arrays ended it with SIGSEGV (trial); 1,000 were served.

Cause: the content is written as text again, for its size, the prompt's hash and the server, which the JSON library does by recursion, on a fiber's stack of 128 KiB.

Change: a body that nests more than 64 levels gets 400.

--- a/packages/web/chat_request_func.cpp
+++ b/packages/web/chat_request_func.cpp
@@ -2,6 +2,7 @@
 #include "web/chat_request_func.hpp"
 
 #include "common/hash_func.hpp"
+#include "common/json_depth_func.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -14,6 +15,8 @@
 
 namespace http = boost::beast::http;
 
+/** Deepest nesting of a request that is read. */
+constexpr std::size_t max_nesting = 64;
 constexpr std::string_view services_prefix = "/v1/services/";
 constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr std::size_t max_key_length = 200;
@@ -120,6 +123,8 @@
 expected<parsed_request> parse_chat(const http_request& request,
                                     parsed_request parsed)
 {
+    if (json_nests_deeper(request.body(), max_nesting))
+        return invalid_request("the request body nests too deeply");
     auto json = nlohmann::json::parse(request.body(), nullptr, false);
     if (json.is_discarded() || !json.is_object())
         return invalid_request("the request body is not a JSON object");
