Charge the requests of the own interface before they are kept

Callers of the own interface could fill a VM's memory: 96 unfinished bodies of 1 MiB took 104 MB, 96 chunked ones 119 MB, 36 lines of 8 MB without an end 359 MB, with a bound of 64 MB.

Cause: as on the platform path, each connection had limits and all together none, and the buffer behind the parser had none at all.

A request is read piece by piece and charged before it grows; one that finds no room gets 503 memory_short, one whose lines have no end 431.

Answers of backend servers are not charged.

--- a/packages/gateway/client_stream_base.cpp
+++ b/packages/gateway/client_stream_base.cpp
@@ -2,6 +2,7 @@
 #include "gateway/client_stream_base.hpp"
 
 #include "web/fiber_scheduler_base.hpp"
+#include "web/memory_charge_func.hpp"
 #include "web/socket_option_func.hpp"
 
 #include <boost/asio/write.hpp>
@@ -15,10 +16,6 @@
 
 /** A client that acknowledges nothing for this long counts as gone. */
 constexpr auto dead_peer_timeout = std::chrono::seconds(5);
-/** Pause in which connections that were told to yield do so, and the number of
- *  pauses: one whose fiber waits for the link may take longer. */
-constexpr auto yield_pause = std::chrono::milliseconds(2);
-constexpr int max_yield_pauses = 50;
 /** Capacity up to which an empty buffer is kept for the next request. */
 constexpr std::size_t max_kept_buffer_bytes = 16'384;
 constexpr std::size_t max_write_bytes = 65'536; ///< Of one call.
@@ -55,17 +52,11 @@
 {
     if (bytes == charged_)
         return true;
-    for (int pause = 0; pause < max_yield_pauses; ++pause) {
-        const auto result = memory_.charge(holder_, bytes, clock_.now());
-        if (result == memory_result::charged)
-            charged_ = bytes;
-        if (result != memory_result::wait)
-            return result == memory_result::charged;
-        fiber_sleep(io_, yield_pause);
-        if (closed_ || yielded_)
-            return false;
-    }
-    return false;
+    if (!await_charge(io_, memory_, holder_, bytes, clock_,
+                      [this] { return closed_ || yielded_; }))
+        return false;
+    charged_ = bytes;
+    return true;
 }
 
 void client_stream::set_state(peer_state state)
--- a/packages/settings/settings_type.hpp
+++ b/packages/settings/settings_type.hpp
@@ -22,6 +22,7 @@
     std::int64_t peer_port = 0;
     std::int64_t traffic_threads = 0;
     std::int64_t max_connections = 0;
+    std::int64_t caller_memory_bytes = 0;
     std::int64_t max_body_bytes = 0;
     std::int64_t max_header_bytes = 0;
     std::int64_t read_timeout_ms = 0;
--- a/packages/web/caller_service_base.cpp
+++ b/packages/web/caller_service_base.cpp
@@ -33,6 +33,20 @@
     }
 }
 
+memory_limits limits_from(const settings& values)
+{
+    const auto capacity = static_cast<std::size_t>(values.caller_memory_bytes);
+    auto limits = memory_limits_for(capacity * 2, 0);
+    limits.max_clients = static_cast<std::size_t>(values.max_connections);
+    return limits;
+}
+
+/** Reaches a session from other threads; used by the session's own one. */
+struct session_link
+{
+    caller_session* session = nullptr;
+};
+
 template <class Body>
 void start_fiber(Body body)
 {
@@ -47,8 +61,9 @@
 caller_service::caller_service(const settings& values,
                                control_interface control)
     : values_(values), control_(std::move(control)),
-      answers_(max_kept_answer_bytes), shared_{values_, control_, answers_,
-                                               busy_sessions_}
+      answers_(max_kept_answer_bytes),
+      memory_(limits_from(values)), shared_{values_, control_, answers_,
+                                            memory_, busy_sessions_}
 {
 }
 
@@ -119,17 +134,27 @@
 
 void caller_service::on_accepted(traffic_thread& target, tcp::socket socket)
 {
-    const auto limit = static_cast<std::size_t>(values_.max_connections);
-    if (open_connections_ >= limit)
-        return; // Dropping the socket closes it; the limit bounds memory.
-    ++open_connections_;
+    const auto link = std::make_shared<session_link>();
+    const auto close_session = [&target, link](bool) {
+        boost::asio::post(target.context, [link] {
+            if (link->session != nullptr)
+                link->session->close_now();
+        });
+    };
+    const auto holder =
+        memory_.open(peer_kind::client, close_session, clock_.now());
+    if (holder == 0)
+        return; // Dropping the socket closes it.
     auto shared_socket = std::make_shared<tcp::socket>(std::move(socket));
-    boost::asio::post(target.context, [this, &target, shared_socket] {
-        start_fiber([this, &target, shared_socket] {
+    boost::asio::post(target.context, [this, &target, shared_socket, link,
+                                       holder] {
+        start_fiber([this, &target, shared_socket, link, holder] {
             caller_session session(target.context, std::move(*shared_socket),
-                                   shared_);
+                                   shared_, holder);
+            link->session = &session;
             session.run();
-            --open_connections_;
+            link->session = nullptr;
+            memory_.close(holder);
         });
     });
 }
--- a/packages/web/caller_service_base.hpp
+++ b/packages/web/caller_service_base.hpp
@@ -73,11 +73,12 @@
     const settings& values_;
     control_interface control_;
     answer_store answers_;
+    memory_account memory_;
+    runtime_clock clock_;
     std::atomic<std::size_t> busy_sessions_{0};
     shared_session_state shared_;
     std::vector<std::unique_ptr<traffic_thread>> threads_;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
-    std::atomic<std::size_t> open_connections_{0};
     std::atomic<bool> stopped_{false};
     std::atomic<std::size_t> next_thread_{0};
     std::mutex polled_mutex_;
--- a/packages/web/caller_session_base.cpp
+++ b/packages/web/caller_session_base.cpp
@@ -3,8 +3,10 @@
 
 #include "common/overload_func.hpp"
 #include "web/fiber_scheduler_base.hpp"
+#include "web/memory_charge_func.hpp"
 #include "web/reply_func.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -22,6 +24,8 @@
 
 /** Maximum number of logs to which one request is redirected in turn. */
 constexpr int max_joins = 4;
+/** Bytes that one read adds at most. */
+constexpr std::size_t max_read_bytes = 65'536;
 /** Time limit for discarding what a refused caller still sends. */
 constexpr auto discard_timeout = milliseconds(1'000);
 
@@ -42,8 +46,11 @@
 
 caller_session::caller_session(boost::asio::io_context& context,
                                boost::asio::ip::tcp::socket socket,
-                               shared_session_state& shared)
-    : context_(context), stream_(std::move(socket)), shared_(shared)
+                               shared_session_state& shared, holder_id holder)
+    : context_(context), stream_(std::move(socket)),
+      buffer_(static_cast<std::size_t>(shared.values.max_header_bytes) +
+              max_read_bytes),
+      shared_(shared), holder_(holder)
 {
     boost::system::error_code ignored;
     stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -54,6 +61,7 @@
     http_request request;
     while (read_next_request(request)) {
         ++shared_.busy_sessions;
+        shared_.memory.set_state(holder_, peer_state::served, clock_.now());
         const bool served = serve(request);
         --shared_.busy_sessions;
         if (!served || !request.keep_alive() || shared_.control.stopping())
@@ -71,23 +79,70 @@
         static_cast<std::uint32_t>(shared_.values.max_header_bytes));
     parser.body_limit(
         static_cast<std::uint64_t>(shared_.values.max_body_bytes));
+    request = {};
+    charge(buffer_.capacity());
+    shared_.memory.set_state(holder_, peer_state::idle, clock_.now());
     stream_.expires_after(milliseconds(shared_.values.read_timeout_ms));
-    const auto read = await_io([&](auto handler) {
-        http::async_read(stream_, buffer_, parser, std::move(handler));
-    });
-    if (read.fault)
-        return refuse_unreadable(read.fault, parser);
+    const auto fault = read_whole(parser);
+    if (fault)
+        return refuse_unreadable(fault, parser);
     request = parser.release();
     return true;
 }
 
+boost::system::error_code caller_session::read_whole(request_parser& parser)
+{
+    auto read = await_io([&](auto handler) {
+        http::async_read_header(stream_, buffer_, parser, std::move(handler));
+    });
+    shared_.memory.set_state(holder_, peer_state::reading, clock_.now());
+    parser.eager(true);
+    while (!read.fault && !parser.is_done()) {
+        if (!charge(parser))
+            return make_error_code(boost::system::errc::not_enough_memory);
+        read = await_io([&](auto handler) {
+            http::async_read_some(stream_, buffer_, parser, std::move(handler));
+        });
+        shared_.memory.record_progress(holder_, read.bytes, clock_.now());
+    }
+    return read.fault;
+}
+
+bool caller_session::charge(const request_parser& parser)
+{
+    const auto& body = parser.get().body();
+    return charge(
+        buffer_.capacity() +
+        std::max<std::size_t>(
+            parser.content_length().value_or(0),
+            grown_bytes(body.size(), body.capacity(), max_read_bytes)));
+}
+
+bool caller_session::charge(std::size_t bytes)
+{
+    return await_charge(context_, shared_.memory, holder_, bytes, clock_,
+                        [this] { return closed_to_yield_; });
+}
+
+void caller_session::close_now()
+{
+    closed_to_yield_ = true;
+    stream_.close();
+}
+
 bool caller_session::refuse_unreadable(const boost::system::error_code& fault,
                                        const request_parser& parser)
 {
     http_request unreadable;
     unreadable.version(11);
     unreadable.keep_alive(false);
-    if (fault == http::error::header_limit)
+    if (fault == boost::system::errc::not_enough_memory)
+        write(error_reply(503, "memory_short",
+                          "other callers hold the memory that the request "
+                          "needs; it was not run"),
+              unreadable);
+    else if (fault == http::error::header_limit ||
+             fault == http::error::buffer_overflow)
         write(error_reply(431, "header_too_large",
                           "the request header is larger than allowed"),
               unreadable);
--- a/packages/web/caller_session_base.hpp
+++ b/packages/web/caller_session_base.hpp
@@ -1,6 +1,7 @@
 /** @file caller_session_base.hpp One caller's connection. */
 #pragma once
 
+#include "router/memory_account_base.hpp"
 #include "settings/settings_type.hpp"
 #include "timeline/timeline_base.hpp"
 #include "web/answer_store_base.hpp"
@@ -39,6 +40,7 @@
     const settings& values;
     control_interface& control;
     answer_store& answers;
+    memory_account& memory;
     /** Number of sessions that are serving a request. */
     std::atomic<std::size_t>& busy_sessions;
 };
@@ -47,18 +49,26 @@
 class caller_session
 {
 public:
+    /** @param holder Number of the connection in the account. */
     caller_session(boost::asio::io_context& context,
                    boost::asio::ip::tcp::socket socket,
-                   shared_session_state& shared);
+                   shared_session_state& shared, holder_id holder);
 
     /** Serves requests until the connection ends. */
     void run();
+    /** Closes the connection, to make room for others. */
+    void close_now();
 
 private:
     using request_parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     bool read_next_request(http_request& request);
+    /** Reads a request, charging its memory before it grows. */
+    boost::system::error_code read_whole(request_parser& parser);
+    /** @return False if there is no room for the next read. */
+    bool charge(const request_parser& parser);
+    bool charge(std::size_t bytes);
     void discard_input();
     bool refuse_unreadable(const boost::system::error_code& fault,
                            const request_parser& parser);
@@ -81,6 +91,9 @@
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
     shared_session_state& shared_;
+    holder_id holder_;
+    runtime_clock clock_;
+    bool closed_to_yield_ = false;
 };
 
 } // namespace rosemarydeck
