Charge what passes between VMs on its way to a client

Cause: the part of another VM's answer that is being passed on, up to 64 KiB and an unfinished event, was covered by the fixed part of a request only.

Change: it is charged like an answer of an engine.

Result: gateway_relay_test.py passes (14 tests, one run). No test of its own: the fault was found by reading.

--- a/packages/gateway/exchange_relay.cpp
+++ b/packages/gateway/exchange_relay.cpp
@@ -280,7 +280,8 @@
     while (true) {
         const auto body = std::exchange(parser.get().body(), {});
         count_passed_events(splitter, body);
-        if (splitter.pending_bytes() > max_event_bytes)
+        if (splitter.pending_bytes() > max_event_bytes ||
+            !charge_answer(parser, splitter.pending_bytes() + body.size()))
             return false;
         if (!body.empty() &&
             !client_.write(chunked ? encode_chunk(body) : body, time_left()))
