Let nobody yield to a request that finds no room all the same

Cause: connections were told to yield one by one, and those told stayed so when the rest did not suffice: clients lost their uploads for nothing.

Change: who yields is chosen first and told only if all of them make enough room.

--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -106,17 +106,8 @@
 
 bool exchange::admit()
 {
-    if (!view_ || !view_->config) {
-        refuse(503, counter::refused_no_config, "no_configuration",
-               retry_after_unavailable);
+    if (!find_config())
         return false;
-    }
-    config_ = view_->config;
-    if (relayed_ && has_older_config()) {
-        refuse(503, counter::refused_no_config, "older_configuration",
-               retry_after_unavailable);
-        return false;
-    }
     route_ = config_->route(request_head_.host, request_head_.target);
     if (route_ == nullptr) {
         refuse(404, counter::refused_no_route, "no_route");
@@ -148,6 +139,22 @@
     return reserve();
 }
 
+bool exchange::find_config()
+{
+    if (!view_ || !view_->config) {
+        refuse(503, counter::refused_no_config, "no_configuration",
+               retry_after_unavailable);
+        return false;
+    }
+    config_ = view_->config;
+    if (relayed_ && has_older_config()) {
+        refuse(503, counter::refused_no_config, "older_configuration",
+               retry_after_unavailable);
+        return false;
+    }
+    return true;
+}
+
 bool exchange::take_place()
 {
     const auto customer = customer_ == nullptr ? customer_id() : customer_->id;
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -75,10 +75,12 @@
         bool outdated = false;
     };
 
-    // Admission. admit(), authenticate(), take_place() and reserve() send a
-    // refusal to the client before they return false.
+    // Admission. admit(), find_config(), authenticate(), take_place() and
+    // reserve() send a refusal to the client before they return false.
 
     bool admit();
+    /** Takes the configuration in force, if there is one that may be used. */
+    bool find_config();
     bool authenticate();
     /** Takes a place and the memory that each request needs. */
     bool take_place();
--- a/packages/router/memory_account_base.cpp
+++ b/packages/router/memory_account_base.cpp
@@ -3,6 +3,7 @@
 #include "router/memory_account_base.hpp"
 
 #include <algorithm>
+#include <vector>
 
 namespace rosemarydeck
 {
@@ -231,11 +232,10 @@
         return memory_result::refused;
     auto& holder = self->second;
     const auto wanted = bytes + limits_.connection_bytes;
-    const bool for_answer = holder.state != peer_state::reading;
-    const auto max_large = wanted <= limits_.ordinary_bytes
-                               ? limits_.capacity_bytes
-                           : for_answer ? limits_.max_answer_bytes
-                                        : limits_.max_upload_bytes;
+    const auto max_large =
+        wanted <= limits_.ordinary_bytes      ? limits_.capacity_bytes
+        : holder.state == peer_state::reading ? limits_.max_upload_bytes
+                                              : limits_.max_answer_bytes;
     auto after = used_;
     subtract(after, holder.bytes);
     add(after, wanted);
@@ -249,20 +249,38 @@
         holder.bytes = wanted;
         return memory_result::charged;
     }
+    return make_room(self, after, max_large, now) ? memory_result::wait
+                                                  : memory_result::refused;
+}
+
+bool memory_account::make_room(holders::iterator asking, const total& after,
+                               std::size_t max_large, time_point now)
+{
+    const bool for_answer = asking->second.state != peer_state::reading;
+    const auto leaving_before = leaving_;
+    std::vector<holders::iterator> chosen;
     while (true) {
         const bool too_large = after.large - leaving_.large > max_large;
         if (!too_large && after.all - leaving_.all <= limits_.capacity_bytes)
-            return memory_result::wait;
-        const auto found =
-            choose(id, holder.kind, for_answer,
+            break;
+        const auto next =
+            choose(asking->first, asking->second.kind, for_answer,
                    too_large ? limits_.ordinary_bytes + 1 : 0, now);
-        if (found == holders_.end())
-            return memory_result::refused;
-        ++yields_;
-        found->second.yielding = true;
-        add(leaving_, found->second.bytes);
-        found->second.yield(false);
+        if (next == holders_.end()) {
+            // Nobody yields in vain.
+            for (const auto one : chosen)
+                one->second.yielding = false;
+            leaving_ = leaving_before;
+            return false;
+        }
+        next->second.yielding = true;
+        add(leaving_, next->second.bytes);
+        chosen.push_back(next);
     }
+    yields_ += chosen.size();
+    for (const auto one : chosen)
+        one->second.yield(false);
+    return true;
 }
 
 bool memory_account::may_yield(const memory_holder& holder, bool for_answer,
--- a/packages/router/memory_account_base.hpp
+++ b/packages/router/memory_account_base.hpp
@@ -149,6 +149,12 @@
      *  @param for_answer The memory is needed for an answer. */
     [[nodiscard]] bool may_yield(const memory_holder& holder, bool for_answer,
                                  time_point now) const;
+    /** Tells connections to yield, or none if all that may do not suffice.
+     *  @param after What is held once the connection that asks has grown.
+     *  @param max_large What large connections may hold of that.
+     *  @return True if enough was told to yield. */
+    bool make_room(holders::iterator asking, const total& after,
+                   std::size_t max_large, time_point now);
     /** @return The connection of a kind that yields first, or the end.
      *  @param asking Left out, and so are those that were told to yield;
      *         0 if a connection is to be closed for a new one.
--- a/packages/router/test/memory_account_test.cpp
+++ b/packages/router/test/memory_account_test.cpp
@@ -128,6 +128,18 @@
     CHECK(charge(third, 2'400) == memory_result::charged);
 }
 
+TEST_CASE_METHOD(account_fixture, "Nobody yields in vain", "[memory]")
+{
+    open(peer_state::reading, 2'000);
+    open(peer_state::served, 2'800);
+    const auto other = open(peer_state::reading, 0);
+    now_ += long_stall;
+    CHECK(charge(other, 4'000) == memory_result::refused);
+    CHECK(told_.empty());
+    CHECK(charge(other, 2'000) == memory_result::wait);
+    CHECK(told_.size() == 1);
+}
+
 TEST_CASE_METHOD(account_fixture, "A byte now and then is no progress",
                  "[memory]")
 {
