Keep the limits of connections out of reach for clients on a full link

Supposed cause, not proved: a receive buffer of 32 KiB lets a request of more take several round trips, which a full link of 20 Mbit/s makes long.

Change: 128 KiB for a client in each direction and from engines, no less than the kernel begins with by default. Behind a request that is handled, where the VM reads little, 4 KiB. A connection is charged 32 KiB, which is what it took in the process; clients may have half of the descriptors, and 3/8 of them requests that are handled, so that a connection for each remains and a new client is refused with an answer instead of a close.

Result: gateway_crowd_test.py (21), gateway_upload_test.py (5) and memory_account_test (15) pass (one run).

--- a/packages/gateway/client_stream_base.cpp
+++ b/packages/gateway/client_stream_base.cpp
@@ -18,6 +18,7 @@
 constexpr auto dead_peer_timeout = std::chrono::seconds(5);
 /** Capacity up to which an empty buffer is kept for the next request. */
 constexpr std::size_t max_kept_buffer_bytes = 16'384;
+constexpr int min_receive_buffer_bytes = 4'096;
 constexpr std::size_t max_write_bytes = 65'536; ///< Of one call.
 
 } // namespace
@@ -59,8 +60,18 @@
     return true;
 }
 
+void client_stream::set_receive_buffer(int bytes)
+{
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(bytes),
+                       ignored);
+    receives_little_ = bytes < client_buffer_bytes;
+}
+
 void client_stream::set_state(peer_state state)
 {
+    if (state == peer_state::idle && receives_little_)
+        set_receive_buffer(client_buffer_bytes);
     state_ = state;
     memory_.set_state(holder_, state, clock_.now());
 }
@@ -106,6 +117,10 @@
                 return self->handle_end();
             self->memory_.record_progress(self->holder_, bytes,
                                           self->clock_.now());
+            // What a client sends behind a request that is handled stays in
+            // the kernel, and is kept small there.
+            if (self->state_ == peer_state::served && !self->receives_little_)
+                self->set_receive_buffer(min_receive_buffer_bytes);
             const auto space = self->buffer_.prepare(bytes);
             std::memcpy(space.data(), self->read_chunk_.data(), bytes);
             self->buffer_.commit(bytes);
--- a/packages/gateway/client_stream_base.hpp
+++ b/packages/gateway/client_stream_base.hpp
@@ -19,6 +19,10 @@
 namespace rosemarydeck
 {
 
+/** Bytes that the kernel buffers for a client in each direction; no less than
+ *  it does by default at first, since a full link makes round trips long. */
+constexpr int client_buffer_bytes = 131'072;
+
 /**
  * Reads from a client's socket into a buffer in the background, to detect a
  * disconnect while the client's request is being served. Charges the process's
@@ -106,6 +110,8 @@
     void abort();
 
 private:
+    /** Sets how much the kernel receives ahead for this connection. */
+    void set_receive_buffer(int bytes);
     /** Resumes the fiber that waits in read_more(), if any. */
     void wake();
     void handle_end();
@@ -135,6 +141,7 @@
     bool closed_ = false;
     bool timed_out_ = false;
     bool yielded_ = false;
+    bool receives_little_ = false; ///< The receive buffer is small for now.
 };
 
 } // namespace rosemarydeck
--- a/packages/gateway/engine_connection_pool_base.cpp
+++ b/packages/gateway/engine_connection_pool_base.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t max_idle_per_engine = 6;
 /** Bytes that the kernel receives ahead from an engine whose answer's client
  *  reads slowly. */
-constexpr int receive_buffer_bytes = 65'536;
+constexpr int receive_buffer_bytes = 131'072;
 /** Time after which unanswered keep-alive probes close a connection to a
  *  vanished engine; two probes are lost by then. */
 constexpr auto dead_peer_timeout = std::chrono::seconds(3);
--- a/packages/gateway/traffic_service_base.cpp
+++ b/packages/gateway/traffic_service_base.cpp
@@ -18,9 +18,6 @@
 constexpr auto housekeeping_interval = milliseconds(1'000);
 /** Interval at which the link's load is measured. */
 constexpr auto link_sample_interval = milliseconds(125);
-/** Bytes that the kernel buffers for a client in each direction. What it has
- *  received counts towards the VM's memory. */
-constexpr int socket_buffer_bytes = 32'768;
 /** Pause after a failed accept. */
 constexpr auto accept_backoff = milliseconds(50);
 
@@ -49,13 +46,13 @@
 expected<std::uint16_t> traffic_service::start()
 {
     auto port =
-        listen_on(acceptor_, context_.settings.callers, socket_buffer_bytes);
+        listen_on(acceptor_, context_.settings.callers, client_buffer_bytes);
     if (!port)
         return port;
     const auto& relay = context_.settings.relay;
     if (relay.port != 0) {
         const auto opened =
-            listen_on(relay_acceptor_, relay, socket_buffer_bytes);
+            listen_on(relay_acceptor_, relay, client_buffer_bytes);
         if (!opened)
             context_.log.write("relay_port_unavailable",
                                {{"why", describe(opened.error())}});
--- a/packages/router/memory_account_base.cpp
+++ b/packages/router/memory_account_base.cpp
@@ -45,10 +45,10 @@
             .ordinary_bytes = 192 * kibibyte,
             .max_upload_bytes = capacity / 2,
             .max_answer_bytes = capacity / 4 * 3,
-            .connection_bytes = 64 * kibibyte,
+            .connection_bytes = 32 * kibibyte,
             .engine_bytes = 32 * kibibyte,
-            // Each client may need a connection to an engine.
-            .max_clients = std::max(min_clients, descriptors / 16 * 7),
+            .max_clients = std::max(min_clients, descriptors / 2),
+            .max_handled = std::max(min_clients, descriptors / 8 * 3),
             .max_checks = 32,
             .max_vms = std::max(min_clients, descriptors / 8)};
 }
@@ -153,11 +153,14 @@
     const auto own = handled_.find(customer);
     const bool is_new = own == handled_.end();
     const bool scarce =
-        handled_total_ >= part_before_scarce(limits_.max_clients) ||
+        handled_total_ >= part_before_scarce(limits_.max_handled) ||
         used_.all > part_before_scarce(limits_.capacity_bytes);
     // One part is left for a customer that has no request here yet.
     const auto parts = handled_.size() + 1;
-    if (scarce && !is_new && own->second >= limits_.max_clients / parts)
+    const auto most =
+        scarce ? limits_.max_handled / parts : limits_.max_handled;
+    if (handled_total_ >= limits_.max_handled ||
+        (!is_new && own->second >= most))
         return false;
     forget_request(found->second);
     found->second.customer = customer;
--- a/packages/router/memory_account_base.hpp
+++ b/packages/router/memory_account_base.hpp
@@ -44,14 +44,15 @@
     std::size_t max_upload_bytes = 0;
     /** The same for one whose request is handled or answered. */
     std::size_t max_answer_bytes = 0;
-    /** Part of it for a connection as such: its fiber, its buffers, and what
-     *  the kernel receives ahead. */
+    /** Part of it for a connection as such: its fiber and its buffers. */
     std::size_t connection_bytes = 0;
     /** The same for the connection to the engine that handles a request. */
     std::size_t engine_bytes = 0;
     std::size_t max_clients = 0; ///< Open connections of clients.
-    std::size_t max_checks = 0;  ///< Open connections of checks.
-    std::size_t max_vms = 0;     ///< Open connections that VMs have opened.
+    /** Requests that are handled, each with a connection to an engine. */
+    std::size_t max_handled = 0;
+    std::size_t max_checks = 0; ///< Open connections of checks.
+    std::size_t max_vms = 0;    ///< Open connections that VMs have opened.
 
     bool operator==(const memory_limits&) const = default;
 };
@@ -115,10 +116,10 @@
     void set_state(holder_id id, peer_state state, time_point now);
     /** Bytes were moved to or from the peer. Few bytes are no progress. */
     void record_progress(holder_id id, std::size_t bytes, time_point now);
-    /** A customer's request is to be handled on a connection. While nearly all
-     *  places or memory are taken, a customer may have its equal part of the
-     *  places only; one part is left for another one.
-     *  @return False if it has that. */
+    /** A customer's request is to be handled on a connection. Once nearly as
+     *  many are as may be, or nearly all memory is taken, a customer may have
+     *  its equal part of them only; one part is left for another one.
+     *  @return False if there is no place for it. */
     bool begin_request(holder_id id, const customer_id& customer);
     void end_request(holder_id id);
     /** Charges a connection's memory beyond its connection_bytes. */
--- a/packages/router/test/memory_account_test.cpp
+++ b/packages/router/test/memory_account_test.cpp
@@ -20,6 +20,7 @@
                                .connection_bytes = 100,
                                .engine_bytes = 50,
                                .max_clients = 8,
+                               .max_handled = 8,
                                .max_checks = 2,
                                .max_vms = 2};
 constexpr auto long_stall = 600ms;
@@ -80,8 +81,8 @@
     CHECK(smallest.max_answer_bytes + 16 * smallest.ordinary_bytes <
           smallest.capacity_bytes);
     CHECK(smallest.capacity_bytes <= smallest_vm / 2);
-    CHECK(2 * smallest.max_clients + smallest.max_vms + smallest.max_checks +
-              200 <
+    CHECK(smallest.max_clients + smallest.max_handled + smallest.max_vms +
+              smallest.max_checks + 200 <
           4'100);
     CHECK(smallest.max_vms > 540 / 5);
     CHECK(memory_limits_for(0, 0).capacity_bytes > 0);
