Give the soak's VMs the settings that the harness writes

Cause: lets a test set memory_mb and max_fds of a VM's settings; the soak writes the same file for VMs of its own, which had neither.

Change: the soak's VMs have the values that all VMs had before.

--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -97,6 +97,7 @@
         self.store_port = self.server.server_address[1]
         self.peer_port, self.relay_port = free_port(), free_port()
         self.link_mbps, self.contact_ms = 1000, 3000
+        self.memory_mb, self.max_fds = 100, 1024
         self.writes_per_s, self.more_bounds, self.zones = 400, "", ""
         self.start_count, self.port = 0, None
         self.planned_stops = []  # Times of SIGTERM.
