Reproduce the incident: a lost watch keeps news out for 20 s

The stand-in of the store loses the answers to watches that wait, to single calls, or silences open connections, and answers all else.

- One watch of the configuration gets no answer: a route of the new version gets 404 and a key 401 from 2 s (the bound) to the end of the test at 5 s, at one VM and at two that each lost a watch; a route that moved goes to its former service; an engine that drains, a data centre that is evacuated and an engine that another VM knows to leave go on getting requests.
- A VM that the store alone refuses, or that has heard of a newer version, says 404 and 401, which it can't know.
- One null or text where a number was due keeps a whole version out of force, and a version that couldn't be read once is never read again.
- All open connections to the store fall silent: 404 from 2 s on.

Two of the 14 tests pass: unknown routes are denied at once with few calls, and a start with the first answer of each call lost is ready in 12 s.

--- a/tests/daemons/platform_standin.py
+++ b/tests/daemons/platform_standin.py
@@ -1,5 +1,6 @@
 """Stand-ins for the metadata store and the engines of the users' platform."""
 
+import collections
 import contextlib
 import http.server
 import json
@@ -20,6 +21,9 @@
         self.available = True  # False: answers every call with 503.
         self.cut_kinds = set()  # Watches of these kinds end in an outage.
         self.lost_kinds = set()  # Watches of these kinds get no answer.
+        self.watches_lost = collections.Counter()  # Times, by kind.
+        self.calls_to_lose = []  # (method, kind); each gets no answer once.
+        self.silenced = 0  # Times that open connections went silent.
         self.write_delays = {}  # By kind, in seconds.
         self.calls = 0
         self.raw = {}  # Texts in answers that are replaced by others.
@@ -34,10 +38,18 @@
             def log_message(self, *_):
                 pass
 
+            def setup(self):
+                super().setup()
+                self.opened_after = store.silenced
+
             def serve(self):
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
+                if store.takes_lost_call(self.command, self.path):
+                    store.never_answer()
                 status, reply = store.handle(self.command, self.path, body)
+                if self.opened_after < store.silenced:
+                    store.never_answer()
                 if self.server.refusing:
                     status, reply = 503, {"error": "unavailable"}
                 text = json.dumps(reply)
@@ -72,6 +84,28 @@
         threading.Thread(target=server.serve_forever, daemon=True).start()
         return server
 
+    @staticmethod
+    def never_answer():
+        threading.Event().wait()
+
+    def takes_lost_call(self, method, path):
+        """Tells whether the answer to a call is to be lost."""
+        kind = urllib.parse.urlsplit(path).path.split("/")[3]
+        with self.changed:
+            if (method, kind) not in self.calls_to_lose:
+                return False
+            self.calls_to_lose.remove((method, kind))
+            return True
+
+    def lose_watches(self, *kinds):
+        """Loses the answers to the watches of some kinds that wait now."""
+        with self.changed:
+            self.watches_lost.update(kinds)
+
+    def silence_connections(self):
+        """Lets all open connections hang, without a reset."""
+        self.silenced += 1
+
     def handle(self, method, path, body):
         url = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -132,10 +166,13 @@
         Returns None if the watch is cut off.
         """
         deadline = time.monotonic() + wait_s
+        lost_before = self.watches_lost[kind]
         lost = kind in self.lost_kinds
         while lost:
             self.changed.wait()
         while True:
+            while self.watches_lost[kind] > lost_before:
+                self.changed.wait()
             events = [{"tombstone": False, "object": value}
                       for (object_kind, _), value in self.objects.items()
                       if object_kind == kind
