Deny no route or key on knowledge that may be out of date

What callers saw: 404 for a route and 401 for a key that a confirmed version had added, from a VM that could not know: the store refused it, its watch was lost, or another VM had named a newer version.

Cause: a 404 or 401 says that no version allows the request, but rested on whatever version was in force, however old.

Change: a VM denies a request only if the store has confirmed within half of the time for a new version (1 s) that the one in force is the newest, and no newer one is known of. Otherwise it asks the store for the changes, one call for all requests that wait, and looks the request up again; if the store doesn't tell, the answer is 503 with Retry-After, which has not run and may be served by another VM. A route or key that is known costs nothing.

--- a/packages/client/client_explain_cmd.cpp
+++ b/packages/client/client_explain_cmd.cpp
@@ -40,6 +40,9 @@
                 "little of the customer's prepaid budget is left, and it is "
                 "kept for requests that are smaller or more urgent; top it "
                 "up"},
+    outcome_row{"configuration_unconfirmed",
+                "no route or key here, and the store could not tell whether a "
+                "newer version has it"},
     outcome_row{"no_configuration", "the VM had not read a configuration yet"},
     outcome_row{"no_route",
                 "no route of the VM's configuration matches the request"},
--- a/packages/gateway/control_config.cpp
+++ b/packages/gateway/control_config.cpp
@@ -48,6 +48,32 @@
         renew_changed_budgets(before->config());
 }
 
+void control_service::check_config(std::shared_ptr<config_check> check)
+{
+    config_checks_.push_back(std::move(check));
+    if (std::exchange(checking_config_, true))
+        return;
+    boost::fibers::fiber(boost::fibers::launch::post, [this] {
+        answer_config_checks();
+    }).detach();
+}
+
+void control_service::answer_config_checks()
+{
+    while (!config_checks_.empty()) {
+        // One call answers all who asked before it.
+        const auto checks = std::exchange(config_checks_, {});
+        const bool confirmed =
+            config_ && !store_.down() && read_changes(platform::config_kind);
+        for (const auto& check : checks) {
+            if (confirmed)
+                check->confirmed_version = config_->config().version;
+            check->done = true;
+        }
+    }
+    checking_config_ = false;
+}
+
 void control_service::report_config_version(std::uint64_t version,
                                             const vm_id& vm)
 {
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -57,6 +57,8 @@
     /** Records the configuration version that another VM uses, and starts to
      *  read it there if it is newer. */
     void report_config_version(std::uint64_t version, const vm_id& vm);
+    /** Answers whether the configuration in force is the store's newest. */
+    void check_config(std::shared_ptr<config_check> check);
     /** Answers where a stream began that another VM brought. */
     void find_origin(std::shared_ptr<origin_lookup> lookup);
     /** Returns credit and unspent headroom; if the ledger has several shards,
@@ -89,6 +91,12 @@
     /** Checks the watches of a kind for as long as the process runs. */
     void run_watch_checks(const std::string& kind);
     void check_watch(const std::string& kind);
+    /** Reads the changes of a kind that no watch has told yet; suspends the
+     *  fiber.
+     *  @return True if all that the store had acknowledged at the call is
+     *          known now. */
+    bool read_changes(const std::string& kind);
+    void answer_config_checks();
     /** Lets the traffic thread know how current the configuration is. */
     void share_evidence(const std::string& kind);
     void log_syncs();
@@ -181,7 +189,9 @@
     /** The configuration in the store's encoding. */
     std::shared_ptr<const std::string> config_text_;
     config_poll config_poll_;
-    http_client peer_client_; ///< Calls other VMs.
+    std::vector<std::shared_ptr<config_check>> config_checks_;
+    bool checking_config_ = false; ///< A fiber answers the checks.
+    http_client peer_client_;      ///< Calls other VMs.
     engine_directory directory_;
     bool engines_loaded_ = false;
     std::set<dc_id> evacuated_; ///< Data centres whose engines aren't used.
--- a/packages/gateway/control_sync.cpp
+++ b/packages/gateway/control_sync.cpp
@@ -174,6 +174,9 @@
         return false;
     }
     log_unreadable(kind, changes->unreadable);
+    // Another call has told the changes meanwhile, and perhaps later ones.
+    if (sync.evidence().revision != since)
+        return true;
     if (kind == platform::engine_kind && store_.last_recovery())
         directory_.record_outage_end(*store_.last_recovery());
     // A watch that nothing ended was held to its end.
@@ -185,6 +188,28 @@
     return true;
 }
 
+bool control_service::read_changes(const std::string& kind)
+{
+    auto& sync = syncs_[kind];
+    const auto since = sync.evidence().revision;
+    if (since == 0)
+        return false;
+    const auto begin = clock_.now();
+    const auto reply = store_.call(
+        platform::watch_call(kind, since, std::chrono::milliseconds(0)));
+    if (!reply)
+        return false;
+    const auto changes = platform::decode_changes(reply->status, reply->body);
+    if (!changes)
+        return false;
+    if (sync.evidence().revision != since)
+        return sync.evidence().revision >= changes->revision;
+    log_unreadable(kind, changes->unreadable);
+    record_answer(kind, changes->revision, begin);
+    apply(kind, changes->events);
+    return true;
+}
+
 void control_service::record_answer(const std::string& kind,
                                     std::uint64_t revision, time_point known_at)
 {
--- a/packages/gateway/exchange_base.cpp
+++ b/packages/gateway/exchange_base.cpp
@@ -108,11 +108,7 @@
 {
     if (!find_config())
         return false;
-    route_ = config_->route(request_head_.host, request_head_.target);
-    if (route_ == nullptr) {
-        return deny(404, counter::refused_no_route, "no_route");
-    }
-    if (!authenticate())
+    if (!find_rules())
         return false;
     if (is_blocked() && !start_trial()) {
         context_.control.report_crashing_refused(traits());
@@ -191,16 +187,6 @@
     placement_request_.shared = request_head_.shared_tokens();
 }
 
-bool exchange::authenticate()
-{
-    if (!route_->needs_key || config_->config().customers.empty())
-        return true;
-    customer_ = config_->customer_of(request_head_.key);
-    if (customer_ != nullptr)
-        return true;
-    return deny(401, counter::refused_unauthorized, "unknown_key");
-}
-
 bool exchange::may_outlast_stop() const
 {
     if (!context_.draining ||
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -75,13 +75,21 @@
         bool outdated = false;
     };
 
-    // Admission. admit(), find_config(), authenticate(), take_place() and
+    // Admission. admit(), find_config(), find_rules(), take_place() and
     // reserve() send a refusal to the client before they return false.
 
     bool admit();
     /** Takes the configuration in force, if there is one that may be used. */
     bool find_config();
-    bool authenticate();
+    /** Finds the route and the customer, in a newer configuration if need be;
+     *  refuses the request if there are none. */
+    bool find_rules();
+    /** @return True if the configuration in force has a route for the request
+     *  and, if the route needs one, a customer with its key. */
+    bool match_rules();
+    /** Makes sure that the configuration in force is the newest; may wait for
+     *  the store. @return False if that can't be known. */
+    bool confirm_config();
     /** Refuses a request that the configuration doesn't allow, and logs how
      *  current the configuration is. @return False. */
     bool deny(unsigned status, counter refusal_counter, const char* reason);
--- /dev/null
+++ b/packages/gateway/exchange_config.cpp
@@ -0,0 +1,79 @@
+/** @file exchange_config.cpp What the configuration says of a request. */
+#include "gateway/exchange_base.hpp"
+
+#include "web/fiber_scheduler_base.hpp"
+
+namespace rosemarydeck
+{
+
+namespace
+{
+
+/** Part of the time for a new version within which what is confirmed still
+ *  denies a request. The rest is for answers on their way. */
+constexpr int denial_age_divisor = 2;
+/** Longest wait for the store's word on the configuration: its call has ended
+ *  by then. */
+constexpr auto config_check_timeout = milliseconds(1'100);
+constexpr auto config_check_poll_interval = milliseconds(10);
+/** Retry-After while it is unknown whether a newer version allows a request.
+ *  Other VMs may know. */
+constexpr auto retry_after_unconfirmed = milliseconds(500);
+
+} // namespace
+
+bool exchange::match_rules()
+{
+    route_ = config_->route(request_head_.host, request_head_.target);
+    customer_ = nullptr;
+    if (route_ == nullptr)
+        return false;
+    if (!route_->needs_key || config_->config().customers.empty())
+        return true;
+    customer_ = config_->customer_of(request_head_.key);
+    return customer_ != nullptr;
+}
+
+bool exchange::find_rules()
+{
+    if (match_rules())
+        return true;
+    if (!confirm_config()) {
+        refuse(503, counter::refused_unconfirmed, "configuration_unconfirmed",
+               retry_after_unconfirmed);
+        return false;
+    }
+    // Confirming may have brought a newer version.
+    if (match_rules())
+        return true;
+    return route_ == nullptr
+               ? deny(404, counter::refused_no_route, "no_route")
+               : deny(401, counter::refused_unauthorized, "unknown_key");
+}
+
+bool exchange::confirm_config()
+{
+    const auto max_age =
+        context_.settings.bounds.config_apply_time / denial_age_divisor;
+    if (context_.knowledge.may_deny(config_version(), max_age,
+                                    context_.clock.now()))
+        return true;
+    const auto check = std::make_shared<config_check>();
+    context_.control.check_config(check);
+    const auto deadline = context_.clock.now() + duration(config_check_timeout);
+    // A newer version reaches this thread a moment after the answer.
+    const auto settled = [&] {
+        if (!check->done)
+            return false;
+        view_ = context_.view;
+        return !check->confirmed_version ||
+               config_version() >= *check->confirmed_version;
+    };
+    while (!settled() && context_.clock.now() < deadline && !client_.closed())
+        fiber_sleep(context_.io, config_check_poll_interval);
+    config_ = view_->config;
+    return check->done && check->confirmed_version &&
+           config_version() >= *check->confirmed_version;
+}
+
+} // namespace rosemarydeck
--- a/packages/gateway/exchange_end.cpp
+++ b/packages/gateway/exchange_end.cpp
@@ -96,6 +96,7 @@
     auto fields = platform::local_answer_header(request_head_.id, retry_after);
     if (relayed_ && (refusal_counter == counter::refused_no_engine ||
                      refusal_counter == counter::refused_no_config ||
+                     refusal_counter == counter::refused_unconfirmed ||
                      refusal_counter == counter::refused_memory ||
                      refusal_counter == counter::refused_vm_full ||
                      refusal_counter == counter::refused_stopping))
--- a/packages/gateway/gateway_base.cpp
+++ b/packages/gateway/gateway_base.cpp
@@ -162,6 +162,11 @@
             control_->report_config_version(version, vm);
         });
     };
+    callbacks.check_config = [this](std::shared_ptr<config_check> check) {
+        boost::asio::post(io_, [this, check = std::move(check)] {
+            control_->check_config(check);
+        });
+    };
     callbacks.find_origin = [this](std::shared_ptr<origin_lookup> lookup) {
         boost::asio::post(io_, [this, lookup = std::move(lookup)] {
             control_->find_origin(lookup);
--- a/packages/gateway/gateway_metrics_base.cpp
+++ b/packages/gateway/gateway_metrics_base.cpp
@@ -25,6 +25,9 @@
         {"refused_no_config_total", "Refused before a configuration came."},
         {"refused_unauthorized_total", "Refused for an unknown key."},
         {"refused_no_route_total", "Refused because no route matches."},
+        {"refused_unconfirmed_total",
+         "Refused: the store could not tell whether a newer configuration "
+         "allows it."},
         {"refused_malformed_total", "Requests that could not be read."},
         {"refused_budget_spent_total", "Refused: the budget can't cover it."},
         {"refused_budget_unknown_total",
--- a/packages/gateway/gateway_metrics_base.hpp
+++ b/packages/gateway/gateway_metrics_base.hpp
@@ -21,6 +21,7 @@
     refused_no_config,
     refused_unauthorized,
     refused_no_route,
+    refused_unconfirmed,
     refused_malformed,
     refused_budget_spent,
     refused_budget_unknown,
--- a/packages/gateway/traffic_context_type.hpp
+++ b/packages/gateway/traffic_context_type.hpp
@@ -34,6 +34,15 @@
     std::atomic<bool> done{false};
 };
 
+/** A question to the control thread whether the configuration is current. */
+struct config_check
+{
+    /** Version that was in force when the store had confirmed it, as the
+     *  newest; none if it could not. May be read once done is true. */
+    std::optional<std::uint64_t> confirmed_version;
+    std::atomic<bool> done{false};
+};
+
 /** Requests and reports to the control thread; callable from any thread. */
 struct control_callbacks
 {
@@ -55,6 +64,8 @@
     std::function<void(const server_id&, const engine_notice&)> report_notice;
     /** Reports the configuration version that another VM uses. */
     std::function<void(std::uint64_t, const vm_id&)> report_config_version;
+    /** Asks the store whether the configuration in force is its newest. */
+    std::function<void(std::shared_ptr<config_check>)> check_config;
     /** Asks where a stream that another VM brought began. */
     std::function<void(std::shared_ptr<origin_lookup>)> find_origin;
 };
--- a/packages/router/config_knowledge_base.cpp
+++ b/packages/router/config_knowledge_base.cpp
@@ -26,4 +26,12 @@
     return evidence_;
 }
 
+bool config_knowledge::may_deny(std::uint64_t own_version, duration max_age,
+                                time_point now) const
+{
+    const auto known = evidence();
+    return known.newest_version <= own_version && known.sync.confirmed &&
+           *known.sync.confirmed + max_age >= now;
+}
+
 } // namespace rosemarydeck
--- a/packages/router/config_knowledge_base.hpp
+++ b/packages/router/config_knowledge_base.hpp
@@ -29,6 +29,13 @@
     /** Records a version that another VM uses, or the store holds. */
     void record_version(std::uint64_t version, const vm_id& vm);
     [[nodiscard]] config_evidence evidence() const;
+    /** @param own_version Version in force.
+     *  @param max_age Longest time that the platform lets a VM take to heed a
+     *         new version, less what answers take.
+     *  @return True if no version that must be heeded by now can allow what the
+     *          one in force denies. */
+    [[nodiscard]] bool may_deny(std::uint64_t own_version, duration max_age,
+                                time_point now) const;
 
 private:
     mutable std::mutex mutex_;
--- a/packages/router/test/object_sync_test.cpp
+++ b/packages/router/test/object_sync_test.cpp
@@ -81,3 +81,15 @@
         CHECK_FALSE(sync.overdue(start + 9s));
     }
 }
+
+TEST_CASE("A VM denies nothing on knowledge that may be out of date", "[sync]")
+{
+    config_knowledge knowledge;
+    CHECK_FALSE(knowledge.may_deny(4, 1s, start));
+    knowledge.record_sync({.revision = 9, .confirmed = start});
+    CHECK(knowledge.may_deny(4, 1s, start + 1s));
+    CHECK_FALSE(knowledge.may_deny(4, 1s, start + 1001ms));
+    knowledge.record_version(5, vm_id("b"));
+    CHECK_FALSE(knowledge.may_deny(4, 1s, start));
+    CHECK(knowledge.may_deny(5, 1s, start));
+}
