Ask the store for a version that another VM names

What callers saw: a VM that another one had told of a newer version went on with its own, if that VM was gone or cut off: ten questions in half a second, then none while the store counted as reached.

Change: a version that is heard of for the first time is asked of the store at once, which brings it even if the watch is deaf. Other VMs are asked on as before, and from the eleventh question on with pauses of 0.5 to 8 s instead of never again (config_poll, without I/O).

The poll's own test asks on for 100 s; the former code asked nobody after half a second there.

--- a/packages/gateway/control_config.cpp
+++ b/packages/gateway/control_config.cpp
@@ -77,8 +77,12 @@
 void control_service::report_config_version(std::uint64_t version,
                                             const vm_id& vm)
 {
+    const bool news = version > knowledge_.evidence().newest_version;
     config_poll_.record_version(version, vm);
     knowledge_.record_version(version, vm);
+    // The store has it as well, and other VMs may be gone or cut off.
+    if (news)
+        check_config(std::make_shared<config_check>());
     boost::fibers::fiber(boost::fibers::launch::post, [this] {
         poll_config();
     }).detach();
--- a/packages/router/config_poll_base.cpp
+++ b/packages/router/config_poll_base.cpp
@@ -16,6 +16,7 @@
     newest_ = version;
     holder_ = vm;
     urgent_left_ = options_.urgent_questions;
+    later_pause_ = options_.pause;
     next_question_ = {};
 }
 
@@ -24,10 +25,15 @@
                                               bool store_reached,
                                               time_point now)
 {
-    const bool urgent = newest_ > own_version && urgent_left_ > 0;
-    if (peers.empty() || now < next_question_ || (!urgent && store_reached))
+    const bool behind = newest_ > own_version;
+    const bool urgent = behind && urgent_left_ > 0;
+    if (peers.empty() || now < next_question_ || (!behind && store_reached))
         return std::nullopt;
-    next_question_ = now + (urgent ? options_.urgent_pause : options_.pause);
+    next_question_ = now + (urgent          ? options_.urgent_pause
+                            : store_reached ? later_pause_
+                                            : options_.pause);
+    if (!urgent && store_reached)
+        later_pause_ = std::min(2 * later_pause_, options_.max_pause);
     if (urgent) {
         --urgent_left_;
         const auto holder = std::find_if(
--- a/packages/router/config_poll_base.hpp
+++ b/packages/router/config_poll_base.hpp
@@ -19,6 +19,9 @@
     duration urgent_pause = milliseconds(50);
     /** Questions after which a newer version is no longer urgent. */
     std::uint32_t urgent_questions = 10;
+    /** Longest pause between the questions after those, each pause twice the
+     *  one before. The store has been asked as well. */
+    duration max_pause = milliseconds(8'000);
 };
 
 /**
@@ -48,6 +51,7 @@
     std::uint64_t newest_ = 0; ///< Highest version known of another VM.
     vm_id holder_;             ///< The VM that uses it.
     std::uint32_t urgent_left_ = 0;
+    duration later_pause_{}; ///< Before the next question that isn't urgent.
     time_point next_question_{};
     std::uint64_t question_count_ = 0; ///< Decides between equal VMs.
 };
--- a/packages/router/test/relay_test.cpp
+++ b/packages/router/test/relay_test.cpp
@@ -150,13 +150,21 @@
     poll.record_version(8, all[5].vm);
     CHECK_FALSE(poll.choose(all, 8, true, at(0ms)));
     CHECK(poll.choose(all, 7, true, at(0ms)) == all[5]);
-    // The VM is gone: others are asked, but not for ever.
+    // The VM is gone: others are asked, ever more seldom.
     int questions = 0;
     for (int number = 1; number < 1'000; ++number)
         questions += poll.choose(all, 7, true, at(milliseconds(number * 10)))
                          .has_value();
     CHECK(questions > 3);
     CHECK(questions < 20);
+    // A VM that knows that it is behind never ceases to ask.
+    questions = 0;
+    for (int number = 0; number < 100; ++number)
+        questions +=
+            poll.choose(all, 7, true, at(10s + milliseconds(number * 1'000)))
+                .has_value();
+    CHECK(questions >= 10);
+    CHECK(questions <= 16);
     poll.record_version(9, all[2].vm);
-    CHECK(poll.choose(all, 7, true, at(10s)) == all[2]);
+    CHECK(poll.choose(all, 7, true, at(110s)) == all[2]);
 }
--- a/tests/daemons/gateway_watch_test.py
+++ b/tests/daemons/gateway_watch_test.py
@@ -160,6 +160,21 @@
         reply = Client(self.port).request("GET", "/new/1")
         self.assertEqual(reply.status, 503)
 
+    def test_version_that_another_vm_names_is_asked_of_the_store(self):
+        """Ten questions to a VM that was gone, then none."""
+        self.peer_port, self.relay_port = free_port(), free_port()
+        self.start_with_engines(plain_answer, service="plain")
+        self.lose_watches("config")
+        self.store.put("config", "main", config_with_route(9))
+        passed_on = http.client.HTTPConnection("127.0.0.1", self.relay_port)
+        passed_on.request("GET", "/look/1", headers={
+            "Host": "site.example", "Request-Id": "p1",
+            "Rosemarydeck-Config": "9", "Rosemarydeck-Vm": "vm-b"})
+        passed_on.getresponse().read()
+        fleet.wait_until(lambda: self.log_match("event=config_in_force "
+                                                "version=9 "), 0.5,
+                         "the version in force")
+
     def test_unknown_routes_are_denied_at_once_for_few_calls(self):
         """Each call to the store is priced."""
         self.start_with_engines(plain_answer, service="plain")
