Let one bad part of a configuration cost only itself

What callers saw: a version with one null or text where a number was due was not in force at all; new routes got 404. A version that could not be read once was never read again.

Cause: any exception of the JSON library threw the whole version away, and the revision of the watch had advanced past it.

Change: members that tune a route, service or limit have their defaults if they are unreadable. A route that lacks what a request needs (service, what decides on charging, regions) serves nothing and still hides routes with shorter prefixes; a customer whose budget or regions can't be read is served nothing; both are 503. If a route's host or prefix, or a customer's keys, can't be read, other unknown routes or keys are 503 instead of 404 or 401. A version needs a number and a list of routes.

--- a/packages/client/client_explain_cmd.cpp
+++ b/packages/client/client_explain_cmd.cpp
@@ -43,6 +43,9 @@
     outcome_row{"configuration_unconfirmed",
                 "no route or key here, and the store could not tell whether a "
                 "newer version has it"},
+    outcome_row{"configuration_unreadable",
+                "the part of the configuration that decides on the request "
+                "can't be read; see config_part_unreadable"},
     outcome_row{"no_configuration", "the VM had not read a configuration yet"},
     outcome_row{"no_route",
                 "no route of the VM's configuration matches the request"},
--- a/packages/gateway/control_config.cpp
+++ b/packages/gateway/control_config.cpp
@@ -25,8 +25,13 @@
                                    const vm_id& from)
 {
     auto decoded = platform::decode_config(object.spec);
+    if (from.value().empty())
+        knowledge_.record_unreadable(!decoded);
     if (!decoded) {
-        log_.write("config_unreadable", {{"revision", object.revision},
+        const auto version = platform::config_version_of(object.spec);
+        knowledge_.record_version(version.value_or(0), from);
+        log_.write("config_unreadable", {{"version", version.value_or(0)},
+                                         {"revision", object.revision},
                                          {"why", describe(decoded.error())}});
         return;
     }
@@ -41,6 +46,9 @@
                 {"routes", decoded->routes.size()},
                 {"customers", decoded->customers.size()},
                 {"from", from.value()}});
+    for (const auto& fault : decoded->faults)
+        log_.write("config_part_unreadable",
+                   {{"version", decoded->version}, {"why", fault}});
     config_text_ = std::make_shared<const std::string>(object.spec.dump());
     const auto before = std::exchange(
         config_, std::make_shared<config_index>(*std::move(decoded)));
@@ -63,8 +71,9 @@
     while (!config_checks_.empty()) {
         // One call answers all who asked before it.
         const auto checks = std::exchange(config_checks_, {});
-        const bool confirmed =
-            config_ && !store_.down() && read_changes(platform::config_kind);
+        const bool confirmed = config_ && !store_.down() &&
+                               read_changes(platform::config_kind) &&
+                               !knowledge_.evidence().unreadable;
         for (const auto& check : checks) {
             if (confirmed)
                 check->confirmed_version = config_->config().version;
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -77,6 +77,9 @@
     /** Starts the fibers that follow the objects of a kind. */
     void follow(const char* kind);
     void synchronize(const std::string& kind);
+    /** @return True if the objects of a kind have to be listed again, although
+     *  the last call succeeded. */
+    [[nodiscard]] bool must_reload(const std::string& kind) const;
     /** @return Pause between two watches of a kind. */
     [[nodiscard]] duration pause_after(const std::string& kind) const;
     bool load(const std::string& kind);
--- a/packages/gateway/control_sync.cpp
+++ b/packages/gateway/control_sync.cpp
@@ -82,7 +82,7 @@
         const bool succeeded = loaded ? watch(kind) : load(kind);
         failures = succeeded ? 0 : failures + 1;
         if (succeeded) {
-            loaded = true;
+            loaded = !must_reload(kind);
             fiber_sleep(io_, pause_after(kind));
             continue;
         }
@@ -93,8 +93,16 @@
     }
 }
 
+bool control_service::must_reload(const std::string& kind) const
+{
+    // No watch tells of an object again that has not changed since.
+    return kind == platform::config_kind && knowledge_.evidence().unreadable;
+}
+
 duration control_service::pause_after(const std::string& kind) const
 {
+    if (must_reload(kind))
+        return intervals_.watch_check;
     if (kind == platform::engine_kind)
         return intervals_.after_engines;
     if (kind == platform::evacuation_kind)
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -84,9 +84,14 @@
     /** Finds the route and the customer, in a newer configuration if need be;
      *  refuses the request if there are none. */
     bool find_rules();
-    /** @return True if the configuration in force has a route for the request
-     *  and, if the route needs one, a customer with its key. */
-    bool match_rules();
+    /** What the configuration in force says of a request. */
+    enum class rule_match
+    {
+        found,      ///< It has a route, and a customer if that needs one.
+        unreadable, ///< The part that says it can't be read.
+        none,
+    };
+    rule_match match_rules();
     /** Makes sure that the configuration in force is the newest; may wait for
      *  the store. @return False if that can't be known. */
     bool confirm_config();
--- a/packages/gateway/exchange_config.cpp
+++ b/packages/gateway/exchange_config.cpp
@@ -19,24 +19,35 @@
 /** Retry-After while it is unknown whether a newer version allows a request.
  *  Other VMs may know. */
 constexpr auto retry_after_unconfirmed = milliseconds(500);
+/** Retry-After for what a part of the configuration decides that can't be read.
+ *  Only the next version changes that. */
+constexpr auto retry_after_unreadable = milliseconds(10'000);
 
 } // namespace
 
-bool exchange::match_rules()
+exchange::rule_match exchange::match_rules()
 {
-    route_ = config_->route(request_head_.host, request_head_.target);
+    const auto& config = config_->config();
     customer_ = nullptr;
+    route_ = config_->route(request_head_.host, request_head_.target);
     if (route_ == nullptr)
-        return false;
-    if (!route_->needs_key || config_->config().customers.empty())
-        return true;
+        return config.routes_complete ? rule_match::none
+                                      : rule_match::unreadable;
+    if (!route_->readable)
+        return rule_match::unreadable;
+    if (!route_->needs_key ||
+        (config.customers.empty() && config.customers_complete))
+        return rule_match::found;
     customer_ = config_->customer_of(request_head_.key);
-    return customer_ != nullptr;
+    if (customer_ == nullptr)
+        return config.customers_complete ? rule_match::none
+                                         : rule_match::unreadable;
+    return customer_->readable ? rule_match::found : rule_match::unreadable;
 }
 
 bool exchange::find_rules()
 {
-    if (match_rules())
+    if (match_rules() == rule_match::found)
         return true;
     if (!confirm_config()) {
         refuse(503, counter::refused_unconfirmed, "configuration_unconfirmed",
@@ -44,11 +55,18 @@
         return false;
     }
     // Confirming may have brought a newer version.
-    if (match_rules())
+    switch (match_rules()) {
+    case rule_match::found:
         return true;
-    return route_ == nullptr
-               ? deny(404, counter::refused_no_route, "no_route")
-               : deny(401, counter::refused_unauthorized, "unknown_key");
+    case rule_match::unreadable:
+        refuse(503, counter::refused_unconfirmed, "configuration_unreadable",
+               retry_after_unreadable);
+        return false;
+    default:
+        return route_ == nullptr
+                   ? deny(404, counter::refused_no_route, "no_route")
+                   : deny(401, counter::refused_unauthorized, "unknown_key");
+    }
 }
 
 bool exchange::confirm_config()
--- a/packages/router/config_knowledge_base.cpp
+++ b/packages/router/config_knowledge_base.cpp
@@ -20,6 +20,12 @@
     evidence_.newest_at = vm;
 }
 
+void config_knowledge::record_unreadable(bool unreadable)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    evidence_.unreadable = unreadable;
+}
+
 config_evidence config_knowledge::evidence() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -30,8 +36,8 @@
                                 time_point now) const
 {
     const auto known = evidence();
-    return known.newest_version <= own_version && known.sync.confirmed &&
-           *known.sync.confirmed + max_age >= now;
+    return !known.unreadable && known.newest_version <= own_version &&
+           known.sync.confirmed && *known.sync.confirmed + max_age >= now;
 }
 
 } // namespace rosemarydeck
--- a/packages/router/config_knowledge_base.hpp
+++ b/packages/router/config_knowledge_base.hpp
@@ -16,6 +16,8 @@
     sync_evidence sync;
     std::uint64_t newest_version = 0; ///< Highest version heard of.
     vm_id newest_at; ///< The VM that named it; empty for the store.
+    /** The store's newest configuration can't be read. */
+    bool unreadable = false;
 
     bool operator==(const config_evidence&) const = default;
 };
@@ -28,6 +30,8 @@
     void record_sync(const sync_evidence& sync);
     /** Records a version that another VM uses, or the store holds. */
     void record_version(std::uint64_t version, const vm_id& vm);
+    /** Records whether the store's newest configuration can be read. */
+    void record_unreadable(bool unreadable);
     [[nodiscard]] config_evidence evidence() const;
     /** @param own_version Version in force.
      *  @param max_age Longest time that the platform lets a VM take to heed a
--- a/packages/router/fleet_type.hpp
+++ b/packages/router/fleet_type.hpp
@@ -65,6 +65,9 @@
     milliseconds max_event_interval{};
     /** Regions that its requests must not leave; any if empty. */
     std::set<region_id> permitted_regions{};
+    /** False if a part is missing without which no request may be served. The
+     *  route still hides those with shorter prefixes. */
+    bool readable = true;
 
     bool operator==(const route_rule&) const = default;
 
@@ -116,6 +119,8 @@
     std::set<region_id> permitted_regions{};
     /** Total of tokens bought; empty if the customer has no budget. */
     std::optional<token_count> prepaid;
+    /** False if a part is missing without which no request may be served. */
+    bool readable = true;
 
     bool operator==(const customer_rule&) const = default;
 };
@@ -139,6 +144,13 @@
     std::vector<service_rule> services;
     std::vector<customer_rule> customers;
     client_limits limits;
+    /** False if a route can't be read so far that it is known which requests
+     *  it is for. */
+    bool routes_complete = true;
+    /** False if the keys of some customers can't be read. */
+    bool customers_complete = true;
+    /** What could not be read. */
+    std::vector<std::string> faults{};
 
     bool operator==(const router_config&) const = default;
 };
