Probe the store soon after a call to it failed

What callers saw: connections to the store fell silent; each VM took the store for lost for 2.3 s although new connections worked, denied nothing but knew nothing new either.

Cause: a VM that has lost the store finds it again by the next call that some fiber happens to make, after its pause; budgets are renewed every 1.8 s, and checks of watches waited until the store was back.

Change: a check that is due or has failed takes part in the probes, at full price and with their back-off, so that one comes as soon as the pause is over.

--- a/packages/gateway/control_sync.cpp
+++ b/packages/gateway/control_sync.cpp
@@ -37,24 +37,25 @@
     const auto& sync = syncs_[kind];
     while (true) {
         fiber_sleep(io_, sync.next_check(clock_.now()) - clock_.now());
-        // While the store is away, its return restarts the watches.
-        if (sync.check_due(clock_.now()) && !store_.down())
-            check_watch(kind);
-        else if (sync.check_due(clock_.now()))
-            fiber_sleep(io_, intervals_.max_probe_pause);
+        if (!sync.check_due(clock_.now()))
+            continue;
+        // After a call that failed, this one finds out whether the store is
+        // back: no other fiber may have a question for seconds.
+        const auto permit = store_.acquire_permit();
+        check_watch(kind, !permit.owns_lock());
     }
 }
 
-void control_service::check_watch(const std::string& kind)
+void control_service::check_watch(const std::string& kind, bool allow_stale)
 {
     auto& sync = syncs_[kind];
     const auto since = sync.evidence().revision;
     sync.begin_check(clock_.now());
     metrics_.add(counter::watch_checks);
-    const auto reply = store_.call(
-        platform::watch_call(kind, since, std::chrono::milliseconds(0), true));
+    const auto reply = store_.call(platform::watch_call(
+        kind, since, std::chrono::milliseconds(0), allow_stale));
     if (!reply)
-        return;
+        return sync.record_check_failed(clock_.now());
     const auto changes = platform::decode_changes(reply->status, reply->body);
     // If the history is gone, the watch should have been told so.
     if (changes ? !changes->events.empty()
--- a/packages/router/object_sync_base.cpp
+++ b/packages/router/object_sync_base.cpp
@@ -32,6 +32,11 @@
     return evidence_.watch_began && now >= next_check(now);
 }
 
+void object_sync::record_check_failed(time_point now)
+{
+    last_check_ = now - options_.check_interval;
+}
+
 void object_sync::record_news(std::uint64_t since, time_point now)
 {
     // The watch, or another call, may have told the news meanwhile.
--- a/packages/router/object_sync_base.hpp
+++ b/packages/router/object_sync_base.hpp
@@ -67,6 +67,8 @@
     /** @return True if a watch waits that has to be checked now. */
     [[nodiscard]] bool check_due(time_point now) const;
     void begin_check(time_point now) { last_check_ = now; }
+    /** Records that a check had no answer: the next one is due at once. */
+    void record_check_failed(time_point now);
     /** Records that a check found changes which the watch that waits has not
      *  told.
      *  @param since Revision from which the check asked. */
--- a/packages/router/test/object_sync_test.cpp
+++ b/packages/router/test/object_sync_test.cpp
@@ -45,6 +45,10 @@
     sync.begin_check(start + 2s);
     CHECK_FALSE(sync.check_due(start + 3s));
     CHECK(sync.next_check(start + 3s) == start + 4s);
+    sync.begin_check(start + 4s);
+    CHECK_FALSE(sync.check_due(start + 5s));
+    sync.record_check_failed(start + 5s);
+    CHECK(sync.check_due(start + 5s));
     sync.end_watch();
     CHECK_FALSE(sync.check_due(start + 9s));
 }
--- a/tests/daemons/gateway_watch_test.py
+++ b/tests/daemons/gateway_watch_test.py
@@ -245,6 +245,24 @@
         self.store.put("config", "main", config_with_route(9))
         self.assert_in_force(self.statuses(self.port, NEWS_S))
 
+    def test_store_is_probed_soon_after_a_connection_fell_silent(self):
+        """No fiber had a question for two seconds, so the store was lost."""
+        self.start_with_engines(plain_answer, service="plain")
+        # Calls at the same time open several connections.
+        self.store.write_delays = dict.fromkeys(
+            ("rosemarydeck-ledgers", "rosemarydeck-vms"), 0.8)
+        self.statuses(self.port, 9, "/none/1")
+        self.store.write_delays = {}
+        time.sleep(1)
+        self.store.silence_connections()
+        fleet.wait_until(lambda: self.log_match("event=store_lost"), 10,
+                         "the silence to be noticed")
+        regained = fleet.wait_until(
+            lambda: self.log_match(r"event=store_regained away_ms=(\d+)"), 20,
+            "the store to be reached again")
+        # A pause before the call on a new connection.
+        self.assertLess(int(regained[1]), 1000 * CONTACT_S / 2 + 300)
+
     def test_start_is_in_time_although_first_answers_are_lost(self):
         self.store.calls_to_lose = [
             (method, kind) for method in ("GET", "POST")
