Keep nothing of an engine's endless answer to another request

What callers saw: an engine first answered well and then sent, on kept connections, an answer to another request that didn't end.

Cause: skip_outdated_answer let the parser gather the body it skips.

--- a/packages/gateway/exchange_answer.cpp
+++ b/packages/gateway/exchange_answer.cpp
@@ -142,7 +142,9 @@
             last_event_id_ += event.id ? 1 : 0;
             out += event.bytes;
         }
-        if (splitter.pending_bytes() > max_event_bytes ||
+        if (splitter.pending_bytes() > max_event_bytes)
+            send_fault_ = "an event doesn't end";
+        if (!send_fault_.empty() ||
             !charge_answer(parser, splitter.pending_bytes() + out.size()))
             return {send_outcome::broken};
         if (!out.empty())
--- a/packages/gateway/exchange_base.hpp
+++ b/packages/gateway/exchange_base.hpp
@@ -302,6 +302,7 @@
     time_point deadline_{};
     boost::asio::steady_timer timer_;
     bool timed_out_ = false;
+    std::string send_fault_;    ///< Why the last send's answer can't be read.
     std::size_t request_bytes_; ///< Charged for the request itself.
     bool memory_short_ = false; ///< An engine's answer found no memory.
 
--- a/packages/gateway/exchange_send.cpp
+++ b/packages/gateway/exchange_send.cpp
@@ -29,6 +29,9 @@
 /** Statuses that an answer may end with. */
 constexpr unsigned min_final_status = 200;
 constexpr unsigned max_status = 599;
+/** Maximum size of the body of an answer to an earlier request. With more, the
+ *  connection costs more than a new one. */
+constexpr std::uint64_t max_outdated_bytes = 1'048'576;
 /** Number of answers to earlier requests that are skipped on a connection. */
 constexpr std::size_t max_outdated_answers = 2;
 /** A request ends once it has tried this many engines and the last one was
@@ -157,6 +160,7 @@
     ++send_count_;
     sent_at_ = context_.clock.now();
     answer_began_at_.reset();
+    send_fault_.clear();
     context_.metrics.add(counter::sends);
     if (last_event_id_ > initial_event_id_)
         context_.metrics.add(counter::resumes);
@@ -187,6 +191,8 @@
                               std::move(handler));
     });
     context_.link_bytes.received += read.bytes;
+    if (read.fault)
+        send_fault_ = read.fault.message();
     return !read.fault && !ended_during_upload(parser);
 }
 
@@ -199,9 +205,19 @@
 
 exchange::send_result exchange::skip_outdated_answer(answer_parser& parser)
 {
-    while (!parser.is_done())
-        if (!read_some(parser))
+    std::uint64_t skipped = parser.content_length().value_or(0);
+    while (!parser.is_done()) {
+        // Nobody needs the body, but the parser allocates what it has a length
+        // for.
+        if (skipped > max_outdated_bytes) {
+            send_fault_ = "an answer to another request doesn't end";
+            return {send_outcome::broken};
+        }
+        if (!charge_answer(parser, 0) || !read_some(parser))
             return {send_outcome::broken};
+        const auto body = std::exchange(parser.get().body(), {});
+        skipped += parser.content_length() ? 0 : body.size();
+    }
     send_result result{send_outcome::broken};
     result.outdated = true;
     return result;
@@ -216,8 +232,10 @@
                                 std::move(handler));
     });
     context_.link_bytes.received += read.bytes;
-    if (read.fault)
+    if (read.fault) {
+        send_fault_ = read.fault.message();
         return {send_outcome::broken};
+    }
     const auto head = platform::decode_answer(parser.get(), request_head_.id);
     // An answer to an earlier request may come late, and then the own one
     // follows. On a new connection there is no earlier request.
