Bound what a VM keeps of a configuration copy and of the store's answers

What callers saw: nothing yet.

Change: http_client takes its limit as an option: 4 MiB for copies (the store's objects have 1 MiB at most), 16 MiB for the store's answers, whose pages have about one. The own interface keeps 64.

Evidence: test_endless_copy_of_the_configuration_stays_within_the_memory fails before and passes after. The limit of the store's answers has no test.

--- a/packages/gateway/control_service_base.cpp
+++ b/packages/gateway/control_service_base.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+/** Largest copy of a configuration from another VM. The store's objects have
+ *  1 MiB at most. */
+constexpr std::uint64_t max_config_copy_bytes = 4'194'304;
 /** Interval of expiry checks and log flushes. */
 constexpr auto housekeeping_interval = std::chrono::milliseconds(200);
 
@@ -38,7 +41,7 @@
       intervals_(sync_intervals_for(options_.settings.bounds)),
       store_(io, options_.settings.store, intervals_.max_probe_pause, log,
              metrics),
-      peer_client_(io),
+      peer_client_(io, {.max_answer_bytes = max_config_copy_bytes}),
       credit_service_(
           io,
           {.self = self(),
--- a/packages/gateway/store_client_base.cpp
+++ b/packages/gateway/store_client_base.cpp
@@ -13,6 +13,8 @@
 
 /** The store answers in milliseconds; when slow, in some hundred. */
 constexpr auto answer_timeout = std::chrono::milliseconds(1'000);
+/** Largest answer of the store. A page of a list has about 1 MiB. */
+constexpr std::uint64_t max_answer_bytes = 16'777'216;
 /** Pause before a probe of the store; doubled for each failure in a row. */
 constexpr auto base_probe_pause = std::chrono::milliseconds(150);
 /** Interval at which a fiber that pauses before a probe looks whether the store
@@ -47,7 +49,7 @@
                            duration max_probe_pause, event_log& log,
                            gateway_metrics& metrics)
     : io_(io), store_(store), max_probe_pause_(max_probe_pause), log_(log),
-      metrics_(metrics), client_(io)
+      metrics_(metrics), client_(io, {.max_answer_bytes = max_answer_bytes})
 {
 }
 
--- a/packages/web/http_client_base.cpp
+++ b/packages/web/http_client_base.cpp
@@ -23,7 +23,6 @@
 constexpr auto max_connect_timeout = std::chrono::milliseconds(600);
 /** Short, since a live peer's kernel replies even while a request runs. */
 constexpr auto dead_peer_timeout = std::chrono::seconds(2);
-constexpr std::size_t max_call_answer_bytes = 64 * 1'048'576;
 
 error unavailable(const std::string& step, const http_peer& peer,
                   const std::string& text)
@@ -47,7 +46,9 @@
         connection_->stream.close();
 }
 
-http_client::http_client(boost::asio::io_context& context) : context_(context)
+http_client::http_client(boost::asio::io_context& context,
+                         http_client_options options)
+    : context_(context), options_(options)
 {
 }
 
@@ -121,7 +122,7 @@
         return tl::unexpected(http_failure{
             unavailable("send request", peer, written.fault.message()), true});
     http::response_parser<http::string_body> parser;
-    parser.body_limit(max_call_answer_bytes);
+    parser.body_limit(options_.max_answer_bytes);
     if (handle != nullptr)
         handle->connection_ = connection.get();
     const auto read = await_io([&](auto handler) {
--- a/packages/web/http_client_base.hpp
+++ b/packages/web/http_client_base.hpp
@@ -72,11 +72,19 @@
 std::chrono::milliseconds
 connect_timeout_for(std::chrono::milliseconds call_timeout);
 
+/** Limits of an HTTP client. */
+struct http_client_options
+{
+    /** Largest body of an answer, in bytes. It is kept whole. */
+    std::uint64_t max_answer_bytes = 67'108'864;
+};
+
 /** HTTP client for the fibers of one thread; reuses idle connections. */
 class http_client
 {
 public:
-    explicit http_client(boost::asio::io_context& context);
+    explicit http_client(boost::asio::io_context& context,
+                         http_client_options options = {});
 
     /**
      * Opens a connection.
@@ -102,6 +110,7 @@
                    std::unique_ptr<http_connection> connection);
 
     boost::asio::io_context& context_;
+    http_client_options options_;
     std::map<http_peer, std::deque<std::unique_ptr<http_connection>>> idle_;
 };
 
