Lose answers of the store in the soak

LostAnswers loses the waiting watches of a kind, single calls, or silences all open connections, every 0.5 to 3 s beside the other faults, from a generator of its own so that the seeds play those as before. At the end the watches of the configuration are lost as a route is added: no VM may deny it later than 2 s, and all have to serve it after 5.

--- a/tests/soak/soak_test.py
+++ b/tests/soak/soak_test.py
@@ -20,6 +20,7 @@
 from soak_clients import SoakClient, broken_promises
 from soak_faults import Faults
 from soak_fleet import Fleet
+from soak_store import LostAnswers, news_not_heard
 
 SEEDS = os.environ.get("ROSEMARYDECK_SOAK", "1 2 3").split()
 VMS = int(os.environ.get("ROSEMARYDECK_SOAK_VMS", "3"))
@@ -40,16 +41,21 @@
                        tempfile.mkdtemp(prefix=f"rosemarydeck-soak-{seed}-"),
                        VMS, 15_000)
         faults = Faults(soaked, random.Random(seed + 1))
+        answers = LostAnswers(soaked, random.Random(seed + 1_000_000))
         clients = [SoakClient(number, soaked, random.Random(seed + number))
                    for number in range(CLIENTS_PER_VM * VMS)]
         try:
             for client in clients:
                 client.start()
+            answers.start()
             faults.run(DURATION_S)
+            answers.stopping = True
+            answers.join(5)
             time.sleep(1)
             self.end_clients(clients)
             broken = broken_promises(soaked, clients)
             broken += self.not_recovered(soaked)
+            broken += news_not_heard(soaked)
         finally:
             soaked.end()
             store.server.shutdown()
@@ -57,7 +63,7 @@
         print(f"seed {seed}: {len(faults.log)} faults, answers",
               dict(sum((client.statuses for client in clients),
                        start=type(clients[0].statuses)())))
-        self.assertEqual(broken, [], faults.log)
+        self.assertEqual(broken, [], (faults.log, answers.log))
 
     @staticmethod
     def end_clients(clients):
