Do not take the store for lost after one lost answer

What callers saw: nothing by itself; each lost answer to one call made all other calls of the VM wait for a probe, ended all its watches, and cost the calls that begin them anew.

Change: a call without an answer only counts against the store if the store has answered no call since it began. The lost one is logged as store_answer_lost.

Evidence: test_one_lost_answer_does_not_make_the_store_lost fails on (store_lost after the first lost write) and passes now. gateway_budget, gateway_order, gateway_engine and gateway_daemon pass.

--- a/packages/gateway/store_client_base.cpp
+++ b/packages/gateway/store_client_base.cpp
@@ -108,7 +108,17 @@
     if (!reply && handle->cancelled())
         return tl::unexpected(reply.error());
     if (!reply) {
-        record_result(false, describe(reply.error().cause));
+        const auto why = describe(reply.error().cause);
+        // The store has answered a call since, so only this answer is lost.
+        if (last_answer_ && *last_answer_ > start_time) {
+            metrics_.add(counter::store_failures);
+            log_.write(
+                "store_answer_lost",
+                {{"call", call.method + " " + call.target}, {"why", why}});
+        }
+        else {
+            record_result(false, why);
+        }
         return tl::unexpected(reply.error());
     }
     const auto status = reply->result_int();
@@ -127,6 +137,7 @@
 {
     if (usable) {
         consecutive_failures_ = 0;
+        last_answer_ = clock_.now();
         if (!down_)
             return;
         down_ = false;
--- a/packages/gateway/store_client_base.hpp
+++ b/packages/gateway/store_client_base.hpp
@@ -83,6 +83,7 @@
     std::uint32_t consecutive_failures_ = 0;
     std::set<http_call_handle*> watches_; ///< Calls that the store holds.
     std::minstd_rand jitter_{std::random_device{}()};
+    std::optional<time_point> last_answer_; ///< The last usable one.
     std::optional<time_point> last_recovery_;
     time_point outage_start_{};
 };
--- a/tests/daemons/gateway_watch_test.py
+++ b/tests/daemons/gateway_watch_test.py
@@ -235,6 +235,17 @@
         self.store.raw = {}
         self.assert_in_force(self.statuses(self.port, NEWS_S))
 
+    def test_one_lost_answer_does_not_make_the_store_lost(self):
+        """All other calls waited for a probe, and all watches began anew."""
+        self.start_with_engines(plain_answer, service="plain")
+        time.sleep(1)
+        for _ in range(3):
+            self.store.calls_to_lose.append(("PUT", "rosemarydeck-ledgers"))
+            self.statuses(self.port, 3, "/none/1")  # Each second a call.
+        self.assertEqual(self.store.calls_to_lose, [])
+        self.assertFalse(self.log_match("event=store_lost"))
+        self.assertTrue(self.log_match("event=store_answer_lost call="))
+
     # --- connections that fall silent -----------------------------------
 
     def test_news_is_heard_although_open_connections_fall_silent(self):
