Probe a lost store by a fiber of its own

Cause: let checks of watches take part in the probes. Each failed probe doubles the pause for all, so the pauses were at their longest when the cut ended.

Change: one fiber of the store client probes while the store is lost; all other calls wait for it. No call needs a permit any more.

--- a/packages/gateway/budget_shard_base.cpp
+++ b/packages/gateway/budget_shard_base.cpp
@@ -144,7 +144,7 @@
 
 bool budget_shard::read(bool allow_stale)
 {
-    const auto permit = store_.acquire_permit();
+    store_.await_reachable();
     const auto reply = store_.call(
         platform::get_call(platform::ledger_kind, options_.name, allow_stale));
     if (!reply)
@@ -155,7 +155,7 @@
 
 bool budget_shard::write(const ledger_write& write)
 {
-    const auto permit = store_.acquire_permit();
+    store_.await_reachable();
     const auto reply = store_.call(
         platform::write_call(platform::ledger_kind, options_.name,
                              nlohmann::json(write.next), write.condition));
--- a/packages/gateway/control_budget.cpp
+++ b/packages/gateway/control_budget.cpp
@@ -47,7 +47,7 @@
 
 bool control_service::ensure_layout()
 {
-    const auto permit = store_.acquire_permit();
+    store_.await_reachable();
     const auto proposed = layout_for(options_.settings.store_writes_per_s);
     const auto reply = store_.call(
         platform::write_call(platform::ledger_kind, platform::layout_name,
--- a/packages/gateway/control_presence.cpp
+++ b/packages/gateway/control_presence.cpp
@@ -71,7 +71,7 @@
     // The first attempt may conflict with the object of an earlier run; the
     // answer holds the revision for the second.
     for (int attempt = 0; attempt < 2; ++attempt) {
-        const auto permit = store_.acquire_permit();
+        store_.await_reachable();
         const auto reply = store_.call(platform::write_call(
             kind, options_.settings.vm.value(), spec, revision));
         if (!reply)
@@ -157,7 +157,7 @@
         log_.write("vm_forgotten", {{"vm", vm.value()}});
         for (const auto* kind : {platform::presence_kind, platform::report_kind,
                                  platform::stream_kind}) {
-            const auto permit = store_.acquire_permit();
+            store_.await_reachable();
             // The next pass, or another VM, retries a removal that fails.
             if (!store_.call(platform::remove_call(kind, vm.value())))
                 return;
--- a/packages/gateway/control_service_base.hpp
+++ b/packages/gateway/control_service_base.hpp
@@ -93,9 +93,7 @@
                        time_point known_at);
     /** Checks the watches of a kind for as long as the process runs. */
     void run_watch_checks(const std::string& kind);
-    /** @param allow_stale True for a check that costs little, false for a probe
-     *         of a store that may be away. */
-    void check_watch(const std::string& kind, bool allow_stale);
+    void check_watch(const std::string& kind);
     /** Reads the changes of a kind that no watch has told yet; suspends the
      *  fiber.
      *  @return True if all that the store had acknowledged at the call is
--- a/packages/gateway/control_sync.cpp
+++ b/packages/gateway/control_sync.cpp
@@ -40,21 +40,19 @@
         fiber_sleep(io_, sync.next_check(clock_.now()) - clock_.now());
         if (!sync.check_due(clock_.now()))
             continue;
-        // After a call that failed, this one finds out whether the store is
-        // back: no other fiber may have a question for seconds.
-        const auto permit = store_.acquire_permit();
-        check_watch(kind, !permit.owns_lock());
+        store_.await_reachable();
+        check_watch(kind);
     }
 }
 
-void control_service::check_watch(const std::string& kind, bool allow_stale)
+void control_service::check_watch(const std::string& kind)
 {
     auto& sync = syncs_[kind];
     const auto since = sync.evidence().revision;
     sync.begin_check(clock_.now());
     metrics_.add(counter::watch_checks);
-    const auto reply = store_.call(platform::watch_call(
-        kind, since, std::chrono::milliseconds(0), allow_stale));
+    const auto reply = store_.call(
+        platform::watch_call(kind, since, std::chrono::milliseconds(0), true));
     if (!reply)
         return sync.record_check_failed(clock_.now());
     const auto changes = platform::decode_changes(reply->status, reply->body);
@@ -120,7 +118,7 @@
 {
     list_assembly list;
     while (!list.whole()) {
-        const auto permit = store_.acquire_permit();
+        store_.await_reachable();
         const auto reply =
             store_.call(platform::list_call(kind, list.cursor(), allow_stale));
         if (!reply)
@@ -162,9 +160,8 @@
 
 bool control_service::watch(const std::string& kind)
 {
-    const auto permit = store_.acquire_permit();
-    const auto wait =
-        permit.owns_lock() ? std::chrono::milliseconds(0) : max_watch_duration;
+    store_.await_reachable();
+    const auto wait = max_watch_duration;
     auto& sync = syncs_[kind];
     const auto begin = clock_.now();
     sync.begin_watch(begin);
--- a/packages/gateway/store_client_base.cpp
+++ b/packages/gateway/store_client_base.cpp
@@ -4,6 +4,7 @@
 #include "web/fiber_scheduler_base.hpp"
 
 #include <algorithm>
+#include <boost/fiber/all.hpp>
 
 namespace rosemarydeck
 {
@@ -17,8 +18,8 @@
 constexpr std::uint64_t max_answer_bytes = 16'777'216;
 /** Pause before a probe of the store; doubled for each failure in a row. */
 constexpr auto base_probe_pause = std::chrono::milliseconds(150);
-/** Interval at which a fiber that pauses before a probe looks whether the store
- *  is up. */
+/** Interval at which a fiber that waits for the store looks whether it is up.
+ */
 constexpr auto recovery_poll_interval = std::chrono::milliseconds(100);
 /** Part of the pause that is random. */
 constexpr double jitter_part = 0.25;
@@ -46,9 +47,9 @@
 } // namespace
 
 store_client::store_client(boost::asio::io_context& io, const endpoint& store,
-                           duration max_probe_pause, event_log& log,
+                           store_probe_options probes, event_log& log,
                            gateway_metrics& metrics)
-    : io_(io), store_(store), max_probe_pause_(max_probe_pause), log_(log),
+    : io_(io), store_(store), probes_(std::move(probes)), log_(log),
       metrics_(metrics), client_(io, {.max_answer_bytes = max_answer_bytes})
 {
 }
@@ -58,27 +59,32 @@
     constexpr std::uint32_t max_doublings = 8;
     const auto doublings = std::min(consecutive_failures_, max_doublings);
     const auto longest = std::min<duration>(
-        max_probe_pause_, base_probe_pause * (1U << doublings));
+        silent_ ? probes_.max_silent_pause : probes_.max_pause,
+        base_probe_pause * (1U << doublings));
     std::uniform_real_distribution<double> part(1 - jitter_part, 1);
     return std::chrono::duration_cast<duration>(longest * part(jitter_));
 }
 
-std::unique_lock<boost::fibers::mutex> store_client::acquire_permit()
+void store_client::await_reachable()
 {
-    if (!down_)
-        return {};
-    std::unique_lock<boost::fibers::mutex> permit(probe_mutex_);
-    if (!down_)
-        return {};
-    const auto probe_time = clock_.now() + probe_pause();
-    while (clock_.now() < probe_time) {
-        fiber_sleep(io_, std::min<duration>(recovery_poll_interval,
-                                            probe_time - clock_.now()));
-        // A call that was under way may have found the store up again.
-        if (!down_)
-            return {};
+    while (down_)
+        fiber_sleep(io_, recovery_poll_interval);
+}
+
+void store_client::run_probes()
+{
+    while (down_) {
+        const auto probe_time = clock_.now() + probe_pause();
+        // A call that was under way may find the store up again.
+        while (down_ && clock_.now() < probe_time)
+            fiber_sleep(io_, std::min<duration>(recovery_poll_interval,
+                                                probe_time - clock_.now()));
+        // What refuses calls may answer cheap ones all the same.
+        if (down_)
+            (void)call(platform::get_call(platform::presence_kind,
+                                          probes_.object, silent_));
     }
-    return permit;
+    probing_ = false;
 }
 
 tl::expected<store_reply, http_failure>
@@ -112,6 +118,7 @@
         return tl::unexpected(reply.error());
     }
     const auto status = reply->result_int();
+    silent_ = false;
     record_result(!is_refusal(status),
                   "store answered with status " + std::to_string(status));
     return store_reply{status, std::move(reply->body())};
@@ -121,6 +128,7 @@
                                      time_point start_time,
                                      const std::string& reason)
 {
+    silent_ = true;
     // The store has answered a call since, so only this answer is lost.
     if (!last_answer_ || *last_answer_ <= start_time)
         return record_result(false, reason);
@@ -156,6 +164,10 @@
     down_ = true;
     outage_start_ = clock_.now();
     log_.write("store_lost", {{"why", reason}});
+    if (!std::exchange(probing_, true))
+        boost::fibers::fiber(boost::fibers::launch::post, [this] {
+            run_probes();
+        }).detach();
 }
 
 } // namespace rosemarydeck
--- a/packages/gateway/store_client_base.hpp
+++ b/packages/gateway/store_client_base.hpp
@@ -7,8 +7,6 @@
 #include "platform/platform_store_func.hpp"
 #include "web/http_client_base.hpp"
 
-#include <boost/fiber/condition_variable.hpp>
-#include <boost/fiber/mutex.hpp>
 #include <random>
 #include <set>
 
@@ -22,25 +20,29 @@
     std::string body;
 };
 
+/** How a lost store is probed. */
+struct store_probe_options
+{
+    std::string object;   ///< Name of a small object of presence_kind.
+    duration max_pause{}; ///< Between two probes of a store that refuses.
+    /** The same while the store gives no answer. Such probes may be answered
+     *  out of date, which costs little. */
+    duration max_silent_pause{};
+};
+
 /**
- * Calls the store from fibers. During an outage one fiber at a time
- * probes the store, with back-off, and the others wait: calls are costly.
+ * Calls the store from fibers. During an outage one fiber probes the store,
+ * with back-off, and the others wait: calls are costly.
  */
 class store_client
 {
 public:
-    /** @param max_probe_pause Maximum pause between two probes. */
     store_client(boost::asio::io_context& io, const endpoint& store,
-                 duration max_probe_pause, event_log& log,
+                 store_probe_options probes, event_log& log,
                  gateway_metrics& metrics);
 
-    /**
-     * Suspends the fiber until the store is up, or until this fiber may probe
-     * it during an outage.
-     * @return A lock to hold during the call. If it owns the mutex the call
-     *         is a probe and must not ask the store to hold the answer back.
-     */
-    std::unique_lock<boost::fibers::mutex> acquire_permit();
+    /** Suspends the fiber until the store is up. */
+    void await_reachable();
     /**
      * Calls the store; suspends the fiber.
      * @param hold_time Longest time for which the store may hold back its
@@ -73,16 +75,19 @@
     void record_unanswered(const platform::store_call& call,
                            time_point start_time, const std::string& reason);
     void record_result(bool usable, const std::string& reason);
+    /** Probes the store until it is up. */
+    void run_probes();
 
     boost::asio::io_context& io_;
     endpoint store_;
-    duration max_probe_pause_;
+    store_probe_options probes_;
     event_log& log_;
     gateway_metrics& metrics_;
     http_client client_;
     runtime_clock clock_;
-    boost::fibers::mutex probe_mutex_;
     bool down_ = false;
+    bool probing_ = false; ///< A fiber probes the store.
+    bool silent_ = false;  ///< The last failed call had no answer.
     std::uint32_t consecutive_failures_ = 0;
     std::set<http_call_handle*> watches_; ///< Calls that the store holds.
     std::minstd_rand jitter_{std::random_device{}()};
